--- /dev/null
+++ b/libraries/transport/timer_driver.cc
@@ -0,0 +1,38 @@
+#include "libraries/transport/timer_driver.h"
+
+#include <algorithm>
+
+namespace borageloft::transport {
+
+TimerDriver::TimerDriver(asio::io_context& context, timer::TimerService& timers)
+    : timers_(timers), strand_(asio::make_strand(context)), timer_(strand_) {}
+
+void TimerDriver::Start() {
+  asio::post(strand_, [this] { Schedule(); });
+}
+
+void TimerDriver::Stop() {
+  asio::post(strand_, [this] {
+    is_stopped_ = true;
+    timer_.cancel();
+  });
+}
+
+void TimerDriver::Schedule() {
+  if (is_stopped_) {
+    return;
+  }
+  auto due = std::chrono::steady_clock::now() + kLongestRound;
+  if (const auto next = timers_.NextDue()) {
+    due = std::min(due, *next);
+  }
+  timer_.expires_at(due);
+  timer_.async_wait([this](const asio::error_code& error) {
+    if (!error) {
+      timers_.RunDue();
+      Schedule();
+    }
+  });
+}
+
+}  // namespace borageloft::transport
