ControlRpc: Serve and send the operator's calls over JSON-RPC

Cause: the operator's command line needs typed calls with a token. Change: libjsonrpccpp's protocol handler runs behind our bounded HTTP server, since its own connector binds all interfaces and shows no headers; its client headers need C++14, so one file is built so. Conclusion: refused, unreachable and unknown outcomes are told apart.

--- /dev/null
+++ b/libraries/control_rpc/client_call/client_call.cc
@@ -0,0 +1,58 @@
+#include "libraries/control_rpc/client_call/client_call.h"
+
+#include <jsonrpccpp/client.h>
+
+#include <exception>
+
+namespace borageloft {
+namespace control_rpc {
+
+namespace {
+
+/** Hands messages to a function. An exception of the function is kept, since the base class allows
+ * only its own type to pass. */
+class FunctionConnector : public jsonrpc::IClientConnector {
+ public:
+  explicit FunctionConnector(const SendMessage& send) : send_(send) {}
+
+  void SendRPCMessage(const std::string& message,
+                      std::string& result) throw(jsonrpc::JsonRpcException) override {
+    try {
+      result = send_(message);
+    } catch (...) {
+      failure_ = std::current_exception();
+      throw jsonrpc::JsonRpcException(jsonrpc::Errors::ERROR_CLIENT_CONNECTOR);
+    }
+  }
+
+  void RethrowFailure() const {
+    if (failure_) {
+      std::rethrow_exception(failure_);
+    }
+  }
+
+ private:
+  const SendMessage& send_;
+  std::exception_ptr failure_;
+};
+
+}  // namespace
+
+ClientCallResult CallOverJsonRpc(const SendMessage& send, const std::string& method,
+                                 const Json::Value& parameters) {
+  FunctionConnector connector(send);
+  ClientCallResult result;
+  try {
+    jsonrpc::Client client(connector);
+    result.value = client.CallMethod(method, parameters);
+  } catch (const jsonrpc::JsonRpcException& error) {
+    connector.RethrowFailure();
+    result.has_failed = true;
+    result.error_code = error.GetCode();
+    result.error_message = error.GetMessage();
+  }
+  return result;
+}
+
+}  // namespace control_rpc
+}  // namespace borageloft
