Admission: Add the gate with its concurrency limit, queue and level

Cause: the node needs one place per upstream that decides which requests run, wait or are refused, and its interface has to be fixed before the node is built. Change: AdmissionGate offers, finishes, expires, cancels, drains and is reconfigured; it is composed of ConcurrencyLimit (throughput-guarded latency gradient), ClassQueue (bounded, by importance, then remaining time and depth), LevelController (work admitted against work finished) and ShedKey.

--- /dev/null
+++ b/libraries/admission/concurrency_limit.h
@@ -0,0 +1,70 @@
+#ifndef BORAGELOFT_ADMISSION_CONCURRENCY_LIMIT_H_
+#define BORAGELOFT_ADMISSION_CONCURRENCY_LIMIT_H_
+
+#include <cstddef>
+
+#include "libraries/admission/ticket.h"
+#include "libraries/base/base.h"
+
+namespace borageloft::admission {
+
+/**
+ * Finds how many requests an upstream can run at once, between 1 and its announced slots. It
+ * compares the latency of a window of requests with the latency of the unloaded upstream: a limit
+ * that inflates latency is lowered at once, a limit that is used in full without inflating it is
+ * raised by steps. A cut that does not lower latency is undone, and the higher latency becomes the
+ * new reference: the upstream slowed down for a reason that fewer requests do not cure, and a lower
+ * limit would only lower its throughput. Not thread-safe.
+ */
+class ConcurrencyLimit {
+ public:
+  /**
+   * @param slots Announced slots, at least 1.
+   * @param cold_share Share of the slots that a cold upstream begins with.
+   */
+  ConcurrencyLimit(std::size_t slots, double cold_share);
+
+  /** Changes the announced slots and keeps what was learned. */
+  void set_slots(std::size_t slots);
+
+  /**
+   * Records a request that ran.
+   * @param latency Time the upstream itself worked on it.
+   * @param outcome How it ended.
+   * @param in_flight Requests that ran when it ended, itself included.
+   * @param now Current time.
+   */
+  void Record(base::Duration latency, Outcome outcome, std::size_t in_flight, base::TimePoint now);
+
+  /** @return Requests that may run at once, from 1 to slots. */
+  std::size_t limit() const { return static_cast<std::size_t>(limit_); }
+
+  /** @return Latency of the unloaded upstream; zero before the first window. */
+  base::Duration reference_latency() const {
+    return base::Duration(static_cast<base::Duration::rep>(reference_));
+  }
+
+ private:
+  void CloseWindow(base::TimePoint now);
+  void Adjust(double latency);
+  void StartWindow(base::TimePoint now);
+  void SetLimit(double limit);
+
+  double slots_;
+  double limit_;
+  double reference_ = 0;  // Nanoseconds.
+
+  // Limit and latency before the last cut while its effect is being observed; zero otherwise.
+  double limit_before_cut_ = 0;
+  double latency_before_cut_ = 0;
+
+  base::TimePoint window_start_{};
+  std::size_t count_ = 0;
+  std::size_t overloaded_ = 0;
+  std::size_t max_in_flight_ = 0;
+  double latency_sum_ = 0;
+};
+
+}  // namespace borageloft::admission
+
+#endif  // BORAGELOFT_ADMISSION_CONCURRENCY_LIMIT_H_
