Base: Share one elastic worker pool between HTTP and the node

Cause: the HTTP task queue and the upstream workers need the same pool. Change: WorkerPool moves to base; the load report carries the admission level as rank and share. Conclusion: one pool, tested once.

--- a/libraries/base/base.h
+++ b/libraries/base/base.h
@@ -10,5 +10,6 @@
 #include "libraries/base/ranked_mutex.h"
 #include "libraries/base/time.h"
 #include "libraries/base/verify.h"
+#include "libraries/base/worker_pool.h"
 
 #endif  // BORAGELOFT_BASE_BASE_H_
--- a/libraries/http/elastic_task_queue.h
+++ b/libraries/http/elastic_task_queue.h
@@ -3,12 +3,9 @@
 
 #include <httplib.h>
 
-#include <condition_variable>
-#include <deque>
 #include <functional>
-#include <mutex>
-#include <thread>
-#include <vector>
+
+#include "libraries/base/base.h"
 
 namespace borageloft::http {
 
@@ -32,19 +29,8 @@
   static ConnectionMode current_mode();
 
  private:
-  void Work();
-  void WorkOnRefusals();
-
-  const std::size_t maximum_threads_;
-  std::mutex mutex_;
-  std::condition_variable task_added_;
-  std::condition_variable refusal_added_;
-  std::deque<std::function<void()>> tasks_;
-  std::deque<std::function<void()>> refusals_;
-  std::vector<std::thread> threads_;
-  std::thread refusal_thread_;
-  std::size_t idle_count_ = 0;
-  bool is_stopping_ = false;
+  base::WorkerPool serving_;
+  base::WorkerPool refusing_;
 };
 
 }  // namespace borageloft::http
--- a/libraries/wire/frame.h
+++ b/libraries/wire/frame.h
@@ -59,8 +59,8 @@
   std::uint32_t in_flight = 0;
   std::uint32_t limit = 0;
   base::Duration service_time{};
-  std::uint32_t level_importance = 0;  // Lowest importance still admitted whole.
-  double level_share = 1.0;            // Admitted share of the shed keys of the next class.
+  std::uint32_t level_rank = 0;   // Admission level: the class that is admitted in part.
+  std::uint32_t level_share = 0;  // Admission level: how many of its shed keys are admitted.
   bool is_leaving = false;
 
   friend bool operator==(const LoadReport&, const LoadReport&) = default;
--- a/libraries/wire/frame_codec.cc
+++ b/libraries/wire/frame_codec.cc
@@ -166,7 +166,7 @@
     visit(frame.load.in_flight);
     visit(frame.load.limit);
     visit(frame.load.service_time);
-    visit(frame.load.level_importance);
+    visit(frame.load.level_rank);
     visit(frame.load.level_share);
     visit(frame.load.is_leaving);
     visit(frame.unspent_allowance);
--- a/tests/base/base_test.cc
+++ b/tests/base/base_test.cc
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <atomic>
+#include <future>
+
 namespace borageloft::base {
 namespace {
 
@@ -63,5 +66,27 @@
   EXPECT_EQ(Digest(""), "99aa06d3014798d86001c324468d497f");
 }
 
+// Guards against tasks that are lost or wait although a thread may be started for them.
+TEST_F(BaseTest, WorkerPoolRunsEveryTaskWithinItsBound) {
+  std::atomic<int> count = 0;
+  {
+    WorkerPool pool(4);
+    for (int i = 0; i < 1000; ++i) {
+      pool.Post([&] { ++count; });
+    }
+  }
+  EXPECT_EQ(count, 1000);
+}
+
+// Guards against a task that is accepted for running at once and then waits.
+TEST_F(BaseTest, WorkerPoolRefusesWhenAllThreadsAreBusy) {
+  WorkerPool pool(1);
+  std::promise<void> release;
+  ASSERT_TRUE(pool.TryPost([&] { release.get_future().wait(); }));
+  while (pool.TryPost([] {})) {
+  }
+  release.set_value();
+}
+
 }  // namespace
 }  // namespace borageloft::base
