Storage: Add the durable store of a replication group

Add the library storage: FileSystem hooks with a POSIX implementation, DataFolder (lock file), SegmentedLog, SnapshotStore, MetadataStore, GroupStore (the three with one shared failure state) and CheckDataFolder, which reads a folder without changing it.

- All records of one batch share a checksum, because sectors of an unsynced batch may reach the disk in any order.
A bad frame with a valid frame behind it is therefore always corruption; without one it is a torn tail.
A tail that is damaged after its sync cannot be told from a torn one.
- Truncation of a suffix is a frame in the log, so that a crash never takes a record before the truncated ones.
- Opening writes the last frame again and repeats the cut of the tail: after a failed sync, the kernel counts bytes as clean that are not on the disk.

--- /dev/null
+++ b/libraries/storage/group_store.h
@@ -0,0 +1,71 @@
+#ifndef BORAGELOFT_STORAGE_GROUP_STORE_H_
+#define BORAGELOFT_STORAGE_GROUP_STORE_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "libraries/storage/data_folder.h"
+#include "libraries/storage/metadata_store.h"
+#include "libraries/storage/segmented_log.h"
+#include "libraries/storage/snapshot_store.h"
+#include "libraries/storage/storage_health.h"
+
+namespace borageloft::storage {
+
+/** Folder of the log within a group's folder. */
+inline constexpr const char* kLogFolderName = "log";
+/** Folder of the snapshots within a group's folder. */
+inline constexpr const char* kSnapshotFolderName = "snapshots";
+
+/**
+ * Log, snapshot and metadata of one replication group. They share one state: when a write to any of
+ * them fails, none can be used until the group is opened again. Not thread-safe.
+ */
+class GroupStore {
+ public:
+  /**
+   * Opens a group or creates an empty one.
+   * @param folder Data folder; must outlive the store.
+   * @param name Name of the group; see DataFolder::CreateSubfolder.
+   * @param options Settings of the log.
+   * @throws CorruptionError if stored bytes are damaged, or the log begins behind the snapshot.
+   * @throws StorageFailedError if a repair fails.
+   * @throws FileError if a folder cannot be created or a file cannot be read.
+   */
+  GroupStore(const DataFolder& folder, const std::string& name, LogOptions options = {});
+  GroupStore(const GroupStore&) = delete;
+  GroupStore& operator=(const GroupStore&) = delete;
+
+  /** @return Whether the store can be used; when it cannot, the owner steps down. */
+  StorageState state() const { return health_.state(); }
+  /** @return Why the store failed, or an empty text. */
+  const std::string& failure() const { return health_.cause(); }
+
+  /** @return The log. */
+  SegmentedLog& log() { return log_; }
+  /** @return Term, vote and incarnation. */
+  MetadataStore& metadata() { return metadata_; }
+  /** @return Entry of the newest snapshot, or nothing. */
+  const std::optional<SnapshotId>& snapshot_id() const { return snapshots_.newest(); }
+  /** @return The newest valid snapshot, or nothing. */
+  std::optional<Snapshot> LoadSnapshot() const { return snapshots_.LoadNewest(); }
+
+  /** Stores a snapshot of this host's own state and drops the log behind it. */
+  void SaveSnapshot(const SnapshotId& id, std::string_view content);
+
+  /** Stores a snapshot received from another host; it replaces the whole log. */
+  void InstallSnapshot(const SnapshotId& id, std::string_view content);
+
+ private:
+  std::string folder_;
+  StorageHealth health_;
+  MetadataStore metadata_;
+  SnapshotStore snapshots_;
+  SegmentedLog log_;
+};
+
+}  // namespace borageloft::storage
+
+#endif  // BORAGELOFT_STORAGE_GROUP_STORE_H_
--- /dev/null
+++ b/libraries/storage/storage_error.h
@@ -0,0 +1,71 @@
+#ifndef BORAGELOFT_STORAGE_STORAGE_ERROR_H_
+#define BORAGELOFT_STORAGE_STORAGE_ERROR_H_
+
+#include <cstdint>
+#include <string>
+
+#include "libraries/base/base.h"
+
+namespace borageloft::storage {
+
+/** Root of the errors of this library. Thrown itself for arguments outside the stated bounds. */
+class StorageError : public base::Error {
+ public:
+  using base::Error::Error;
+};
+
+/** An operation of the file system failed. */
+class FileError : public StorageError {
+ public:
+  /**
+   * @param operation What was attempted, for example "sync".
+   * @param path File or folder.
+   * @param code Value of errno.
+   */
+  FileError(const std::string& operation, const std::string& path, int code);
+
+  /** @return Value of errno. */
+  int code() const { return code_; }
+
+ private:
+  int code_;
+};
+
+/** Another process holds the data folder. */
+class FolderLockedError : public StorageError {
+ public:
+  using StorageError::StorageError;
+};
+
+/** Stored bytes are not what was written. The store does not open until the operator decides. */
+class CorruptionError : public StorageError {
+ public:
+  /**
+   * @param file Path of the file.
+   * @param offset Offset of the first wrong byte's structure, in bytes.
+   * @param reason What is wrong.
+   */
+  CorruptionError(std::string file, std::uint64_t offset, const std::string& reason);
+
+  /** @return Path of the file. */
+  const std::string& file() const { return file_; }
+  /** @return Offset in bytes. */
+  std::uint64_t offset() const { return offset_; }
+
+ private:
+  std::string file_;
+  std::uint64_t offset_;
+};
+
+/**
+ * The store is unusable after a failed write, sync or rename. It stays so until it is opened again,
+ * because the state of the file after a failed sync is unknown. The owner steps down.
+ */
+class StorageFailedError : public StorageError {
+ public:
+  using StorageError::StorageError;
+};
+
+}  // namespace borageloft::storage
+
+#endif  // BORAGELOFT_STORAGE_STORAGE_ERROR_H_
