--- a/libraries/notes/policy.cc
+++ b/libraries/notes/policy.cc
@@ -42,6 +42,7 @@
       ApplyChange(change);
     }
     CheckReferences();
+    DeriveCallPaths();
     policy_.number_ = note_.number();
     return std::move(policy_);
   }
@@ -107,9 +108,6 @@
     if (!is_idempotent && has_hedging) {
       parser.AddIssue("hedging", "must be off for a service that is not idempotent");
     }
-    if (!is_idempotent && service.allowance != 0) {
-      parser.AddIssue("allowance", "must be 0 for a service that is not idempotent");
-    }
     parser.RefuseUnknownKeys();
     return service;
   }
@@ -213,6 +211,7 @@
             fmt::format("rule {} names service {}, which is not there", rule.name, rule.service));
       }
     }
+    CheckReservedShares();
     for (const auto& [name, service] : policy_.services_) {
       for (const std::string& callee : service.calls) {
         if (!policy_.services_.contains(callee)) {
@@ -223,6 +222,36 @@
     }
   }
 
+  // Cycles are allowed: a path lists each service once.
+  void DeriveCallPaths() {
+    policy_.call_paths_.clear();
+    for (const auto& [name, service] : policy_.services_) {
+      std::vector<std::string>& path = policy_.call_paths_[name];
+      path.push_back(name);
+      for (std::size_t next = 0; next < path.size(); ++next) {
+        for (const std::string& callee : policy_.FindService(path[next]).calls) {
+          if (std::find(path.begin(), path.end(), callee) == path.end()) {
+            path.push_back(callee);
+          }
+        }
+      }
+    }
+  }
+
+  void CheckReservedShares() {
+    constexpr double kMaximumReserved = 0.5;
+    double reserved = 0;
+    for (const auto& [name, request_class] : policy_.classes_) {
+      reserved += request_class.reserved;
+    }
+    if (reserved > kMaximumReserved) {
+      issues_.push_back({note_.file(), 0, "reserved",
+                         fmt::format("the classes together reserve {:.0f}% of the slots; the bound "
+                                     "is 50%",
+                                     reserved * 100)});
+    }
+  }
+
   void AddReferenceIssue(ObjectKind kind, const std::string& name, std::string message) {
     int line = 0;
     for (const Change& change : note_.changes()) {
@@ -256,6 +285,12 @@
   return found == services_.end() ? unknown : found->second;
 }
 
+const std::vector<std::string>& Policy::FindCallPath(const std::string& service) const {
+  static const std::vector<std::string> unknown;
+  const auto found = call_paths_.find(service);
+  return found == call_paths_.end() ? unknown : found->second;
+}
+
 const ClassPolicy& Policy::FindClass(const std::string& name) const {
   const auto found = classes_.find(name);
   return found == classes_.end() ? DefaultClass() : found->second;
--- a/libraries/notes/policy.h
+++ b/libraries/notes/policy.h
@@ -84,6 +84,9 @@
   /** @return The named class, or the default class. */
   const ClassPolicy& FindClass(const std::string& name) const;
 
+  /** @return @p service and all services that it calls, directly or through others. */
+  const std::vector<std::string>& FindCallPath(const std::string& service) const;
+
   /** @return The class of the first rule that matches the request, else the default class. */
   const ClassPolicy& Classify(std::string_view service, std::string_view method,
                               std::string_view path) const;
@@ -93,6 +96,7 @@
 
   std::uint64_t number_ = 0;
   std::map<std::string, ServicePolicy> services_;
+  std::map<std::string, std::vector<std::string>> call_paths_;  // Derived from services_.
   std::map<std::string, ClassPolicy> classes_;
   std::vector<MatchRule> rules_;
   std::map<std::string, UpstreamState> upstreams_;
