Consensus: Add the Raft replica without I/O

Cause: release notes and ledger grants need quorum replication that survives partitions, restarts and lost disks.

Change: Replica takes ticks, messages and proposals and returns Ready objects. VERIFY checks one leader per term, one vote per term, a committed index that never falls and equal terms at the committed index.

--- /dev/null
+++ b/libraries/consensus/error.h
@@ -0,0 +1,17 @@
+#ifndef BORAGELOFT_CONSENSUS_ERROR_H_
+#define BORAGELOFT_CONSENSUS_ERROR_H_
+
+#include "libraries/base/base.h"
+
+namespace borageloft::consensus {
+
+/** Error of the consensus library: bytes that do not decode, or persisted state that is unusable.
+ */
+class ConsensusError : public base::Error {
+ public:
+  using base::Error::Error;
+};
+
+}  // namespace borageloft::consensus
+
+#endif  // BORAGELOFT_CONSENSUS_ERROR_H_
--- /dev/null
+++ b/libraries/consensus/replica.cc
@@ -0,0 +1,155 @@
+#include "libraries/consensus/replica.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "libraries/consensus/error.h"
+#include "libraries/consensus/limits.h"
+
+namespace borageloft::consensus {
+
+namespace {
+
+PersistedState Checked(PersistedState state) {
+  if (state.hard_state.replica == kNoReplica) {
+    throw ConsensusError(
+        "the persisted state names no replica; a host that lost its disk joins as a learner");
+  }
+  if (!state.snapshot) {
+    throw ConsensusError("the persisted state has no snapshot");
+  }
+  return state;
+}
+
+ReplicaOptions Clamped(ReplicaOptions options) {
+  // Two halves of a message: an append request holds these bytes and at most one more command.
+  options.max_append_bytes = std::min(options.max_append_bytes, kMaxCommandBytes / 2);
+  options.snapshot_chunk_bytes =
+      std::clamp<std::size_t>(options.snapshot_chunk_bytes, 1, kMaxChunkBytes);
+  return options;
+}
+
+}  // namespace
+
+Replica::Replica(ReplicaOptions options, base::Random random, PersistedState state,
+                 base::TimePoint now)
+    : options_(Clamped(options)),
+      random_(std::move(random)),
+      now_(now),
+      hard_state_(Checked(state).hard_state),
+      durable_hard_state_(hard_state_),
+      log_(state.snapshot, std::move(state.entries)),
+      stable_(log_.last_index()),
+      applied_(log_.snapshot()->index),
+      reported_soft_state_{Role::kFollower, kNoReplica, hard_state_.term} {
+  if (log_.last_term() > hard_state_.term) {
+    throw ConsensusError("the stored log is ahead of the stored term");
+  }
+  ResetElectionTimer();
+}
+
+void Replica::Tick(base::TimePoint now) {
+  now_ = std::max(now_, now);
+  if (role_ == Role::kLeader) {
+    TickLeader();
+    return;
+  }
+  if (now_ < election_due_) {
+    return;
+  }
+  if (log_.membership().IsVoter(id())) {
+    Campaign(/*is_pre_vote=*/true, /*is_transfer=*/false);
+  } else {
+    ResetElectionTimer();
+  }
+}
+
+void Replica::Step(Message message) {
+  if (message.to != id() || message.from == id() || message.from == kNoReplica ||
+      message.term == 0) {
+    return;
+  }
+  if (message.term < term()) {
+    AnswerStaleTerm(message);
+    return;
+  }
+  if (message.term > term() && !AdoptTerm(message)) {
+    return;
+  }
+  std::visit([&](auto& body) { Handle(message.from, message.term, body); }, message.body);
+}
+
+std::optional<Ready> Replica::TakeReady() {
+  VERIFY(!is_ready_outstanding_);
+  if (role_ == Role::kLeader) {
+    StartReadRound();
+    SendAppends();
+  }
+  Ready ready;
+  if (hard_state_ != durable_hard_state_) {
+    ready.hard_state = hard_state_;
+  }
+  ready.snapshot = std::exchange(pending_snapshot_, nullptr);
+  ready.entries = log_.Slice(stable_ + 1, log_.last_index(), std::numeric_limits<size_t>::max());
+  ready.messages = std::exchange(messages_, {});
+  ready.committed = log_.Slice(applied_ + 1, log_.commit(), options_.max_apply_bytes);
+  ready.read_states = std::exchange(read_states_, {});
+  const SoftState soft_state{role_, leader_, term()};
+  if (soft_state != reported_soft_state_) {
+    ready.soft_state = soft_state;
+    reported_soft_state_ = soft_state;
+  }
+  if (!ready.hard_state && !ready.snapshot && ready.entries.empty() && ready.messages.empty() &&
+      ready.committed.empty() && ready.read_states.empty() && !ready.soft_state) {
+    return std::nullopt;
+  }
+  ready.receipt.hard_state = ready.hard_state;
+  if (!ready.entries.empty()) {
+    ready.receipt.persisted_index = ready.entries.back().index;
+    ready.receipt.persisted_term = ready.entries.back().term;
+  }
+  ready.receipt.applied_index = ready.committed.empty() ? applied_ : ready.committed.back().index;
+  is_ready_outstanding_ = true;
+  return ready;
+}
+
+void Replica::Advance(const ReadyReceipt& receipt) {
+  VERIFY(is_ready_outstanding_);
+  is_ready_outstanding_ = false;
+  if (receipt.hard_state) {
+    durable_hard_state_ = *receipt.hard_state;
+  }
+  // Entries that were replaced while they were written do not count as durable.
+  if (receipt.persisted_index > 0 &&
+      log_.Matches(receipt.persisted_index, receipt.persisted_term)) {
+    stable_ = std::max(stable_, receipt.persisted_index);
+  }
+  applied_ = std::max(applied_, receipt.applied_index);
+  VERIFY(applied_ <= log_.commit());
+  // What was applied had been persisted before, and committed entries are never replaced.
+  stable_ = std::max(stable_, applied_);
+  if (role_ == Role::kLeader) {
+    AdvanceCommit();
+  }
+}
+
+SnapshotPointer Replica::MakeSnapshot(Index index, std::string data) const {
+  VERIFY(index >= snapshot_index() && index <= applied_);
+  VERIFY(data.size() <= kMaxSnapshotBytes);
+  return std::make_shared<const Snapshot>(
+      Snapshot{index, *log_.TermAt(index), log_.MembershipAt(index), std::move(data)});
+}
+
+void Replica::Compact(SnapshotPointer snapshot) {
+  if (snapshot->index > snapshot_index()) {
+    log_.Compact(std::move(snapshot), options_.retained_entries);
+  }
+}
+
+void Replica::Send(ReplicaId to, MessageBody body) { SendInTerm(to, term(), std::move(body)); }
+
+void Replica::SendInTerm(ReplicaId to, Term term, MessageBody body) {
+  messages_.push_back({id(), to, term, std::move(body)});
+}
+
+}  // namespace borageloft::consensus
--- /dev/null
+++ b/libraries/consensus/replica_election.cc
@@ -0,0 +1,173 @@
+#include <utility>
+
+#include "libraries/consensus/replica.h"
+
+namespace borageloft::consensus {
+
+namespace {
+
+bool IsFromLeader(const MessageBody& body) {
+  return std::holds_alternative<AppendRequest>(body) || std::holds_alternative<Heartbeat>(body) ||
+         std::holds_alternative<SnapshotChunk>(body);
+}
+
+}  // namespace
+
+void Replica::ResetElectionTimer() {
+  const auto range = static_cast<std::uint64_t>(options_.election_timeout.count());
+  const auto extra = base::Duration(static_cast<std::int64_t>(base::DrawBelow(random_, range)));
+  election_due_ = now_ + options_.election_timeout + extra;
+}
+
+void Replica::SetVote(Term term, ReplicaId vote) {
+  VERIFY(term >= hard_state_.term);
+  // Two votes in one term could elect two leaders.
+  VERIFY(term > hard_state_.term || hard_state_.vote == kNoReplica || hard_state_.vote == vote);
+  if (term > hard_state_.term) {
+    term_leader_ = kNoReplica;
+  }
+  hard_state_.term = term;
+  hard_state_.vote = vote;
+}
+
+void Replica::BecomeFollower(Term term, ReplicaId leader) {
+  if (role_ == Role::kLeader) {
+    DropReads();
+    progress_.clear();
+    transfer_target_ = kNoReplica;
+  }
+  if (term > hard_state_.term) {
+    SetVote(term, kNoReplica);
+  }
+  role_ = Role::kFollower;
+  leader_ = leader;
+  ResetElectionTimer();
+}
+
+bool Replica::HasLeaderContact() const {
+  return role_ == Role::kLeader ||
+         (leader_ != kNoReplica && now_ - last_contact_ < options_.election_timeout);
+}
+
+void Replica::Campaign(bool is_pre_vote, bool is_transfer) {
+  granted_.clear();
+  refused_.clear();
+  leader_ = kNoReplica;
+  Term campaign_term = term() + 1;
+  if (is_pre_vote) {
+    role_ = Role::kPreCandidate;
+  } else {
+    SetVote(campaign_term, id());
+    role_ = Role::kCandidate;
+  }
+  ResetElectionTimer();
+  granted_.insert(id());
+  for (const auto& [replica, member] : log_.membership().members()) {
+    if (replica != id() && member.is_voter) {
+      SendInTerm(replica, campaign_term,
+                 VoteRequest{is_pre_vote, is_transfer, log_.last_index(), log_.last_term()});
+    }
+  }
+  if (log_.membership().quorum() == 1) {
+    if (is_pre_vote) {
+      Campaign(/*is_pre_vote=*/false, is_transfer);
+    } else {
+      BecomeLeader();
+    }
+  }
+}
+
+void Replica::BecomeLeader() {
+  VERIFY(term_leader_ == kNoReplica);
+  role_ = Role::kLeader;
+  leader_ = id();
+  term_leader_ = id();
+  reads_ = ReadQueue();
+  progress_.clear();
+  heartbeat_due_ = now_ + options_.heartbeat_interval;
+  SyncProgress();
+  // Entries of earlier terms can only be committed together with one of this term.
+  AppendOwn(EntryKind::kEmpty, "");
+}
+
+bool Replica::AdoptTerm(const Message& message) {
+  const auto* request = std::get_if<VoteRequest>(&message.body);
+  if (request != nullptr && !request->is_transfer && HasLeaderContact()) {
+    // A replica that was cut off and returns must not unseat a leader that others can reach.
+    return false;
+  }
+  const auto* response = std::get_if<VoteResponse>(&message.body);
+  if ((request != nullptr && request->is_pre_vote) ||
+      (response != nullptr && response->is_pre_vote && response->is_granted)) {
+    // A pre-vote is about a term that nobody has entered yet.
+    return true;
+  }
+  BecomeFollower(message.term, IsFromLeader(message.body) ? message.from : kNoReplica);
+  return true;
+}
+
+void Replica::AnswerStaleTerm(const Message& message) {
+  if (IsFromLeader(message.body)) {
+    // Tells a leader of an earlier term to step down.
+    Send(message.from, AppendResponse{true, 0, 0, 0, 0});
+  } else if (const auto* request = std::get_if<VoteRequest>(&message.body)) {
+    Send(message.from, VoteResponse{request->is_pre_vote, false});
+  }
+}
+
+void Replica::RecordLeaderContact(ReplicaId leader) {
+  VERIFY(role_ != Role::kLeader);
+  VERIFY(term_leader_ == kNoReplica || term_leader_ == leader);
+  if (role_ != Role::kFollower || leader_ != leader) {
+    BecomeFollower(term(), leader);
+  }
+  term_leader_ = leader;
+  last_contact_ = now_;
+  ResetElectionTimer();
+}
+
+void Replica::Handle(ReplicaId from, Term term, const VoteRequest& request) {
+  const bool is_new_term = request.is_pre_vote && term > hard_state_.term;
+  const bool is_free =
+      hard_state_.vote == from ||
+      (hard_state_.vote == kNoReplica && leader_ == kNoReplica && term_leader_ == kNoReplica);
+  const bool is_granted =
+      (is_new_term || is_free) && log_.IsUpToDate(request.last_index, request.last_term);
+  if (is_granted && !request.is_pre_vote) {
+    SetVote(term, from);
+    ResetElectionTimer();
+  }
+  // A granted pre-vote names the term asked for; a refusal names the own term, so that a candidate
+  // that is behind learns of it.
+  SendInTerm(from, is_granted ? term : hard_state_.term,
+             VoteResponse{request.is_pre_vote, is_granted});
+}
+
+void Replica::Handle(ReplicaId from, Term term, const VoteResponse& response) {
+  const Role asking = response.is_pre_vote ? Role::kPreCandidate : Role::kCandidate;
+  if (role_ != asking || !log_.membership().IsVoter(from)) {
+    return;
+  }
+  if (response.is_granted && term != hard_state_.term + (response.is_pre_vote ? 1 : 0)) {
+    return;
+  }
+  (response.is_granted ? granted_ : refused_).insert(from);
+  const std::size_t quorum = log_.membership().quorum();
+  if (granted_.size() >= quorum) {
+    if (response.is_pre_vote) {
+      Campaign(/*is_pre_vote=*/false, /*is_transfer=*/false);
+    } else {
+      BecomeLeader();
+    }
+  } else if (refused_.size() >= quorum) {
+    BecomeFollower(hard_state_.term, kNoReplica);
+  }
+}
+
+void Replica::Handle(ReplicaId from, Term /*term*/, const TransferRequest& /*request*/) {
+  if (role_ == Role::kFollower && leader_ == from && log_.membership().IsVoter(id())) {
+    Campaign(/*is_pre_vote=*/false, /*is_transfer=*/true);
+  }
+}
+
+}  // namespace borageloft::consensus
