Node: Wire the whole path of a request

Cause: the libraries need one process that serves real requests. Change: the entry finds service, class, deadline and context, the attempt loop chooses, sends and retries, the gate admits and calls the upstream, the lease client keeps the routes; borageloftd runs it. Conclusion: the thin path stands; notes are pulled from one control host for now.

--- a/libraries/http/http_server.cc
+++ b/libraries/http/http_server.cc
@@ -18,6 +18,8 @@
 
 namespace {
 
+constexpr std::size_t kRequestsPerConnection = 1'000'000;
+
 thread_local const BoundedStream* current_stream = nullptr;
 // Set when the request on this thread was malformed: what follows it on the connection cannot be
 // told apart from its rest.
@@ -195,6 +197,10 @@
   };
   state.server.set_tcp_nodelay(true);
   state.server.set_payload_max_length(options.body_bytes);
+  // Only for the Keep-Alive header of answers: BoundedServer itself sets no bound of requests.
+  state.server.set_keep_alive_max_count(kRequestsPerConnection);
+  state.server.set_keep_alive_timeout(
+      std::chrono::duration_cast<std::chrono::seconds>(options.idle_timeout).count());
   const auto handle = [&state](const httplib::Request& request, httplib::Response& response) {
     state.Handle(request, response);
   };
--- /dev/null
+++ b/libraries/node/node.cc
@@ -0,0 +1,308 @@
+#include "libraries/node/node.h"
+
+#include <fmt/format.h>
+
+#include <asio.hpp>
+#include <random>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "libraries/control_rpc/control_rpc.h"
+#include "libraries/node/attempt_loop.h"
+#include "libraries/node/call_sender.h"
+#include "libraries/node/control_channel.h"
+#include "libraries/node/inbound_calls.h"
+#include "libraries/node/membership_table.h"
+#include "libraries/node/node_http.h"
+#include "libraries/node/note_table.h"
+#include "libraries/node/operator_api.h"
+#include "libraries/node/request_entry.h"
+#include "libraries/node/routing_table.h"
+#include "libraries/node/upstream_gate.h"
+#include "libraries/transport/transport.h"
+
+namespace borageloft::node {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// The gate drops late work and ends leases at this grain; deadlines are whole milliseconds.
+constexpr base::Duration kGateTick = milliseconds(2);
+constexpr base::Duration kMembershipTick = milliseconds(50);
+constexpr base::Duration kRoutingTick = milliseconds(1000);
+constexpr base::Duration kDrainCheck = milliseconds(10);
+// Time for the other nodes to hear that this one leaves before its last connection is closed.
+constexpr base::Duration kFarewell = milliseconds(200);
+constexpr std::size_t kSpanQueue = 65'536;
+
+base::Random ThreadRandom() {
+  return [] {
+    thread_local std::mt19937_64 engine = [] {
+      std::random_device device;
+      std::seed_seq seed{device(), device(), device(), device()};
+      return std::mt19937_64(seed);
+    }();
+    return engine();
+  };
+}
+
+transport::TransportOptions MakeTransportOptions(const settings::NodeSettings& settings,
+                                                 std::uint64_t incarnation) {
+  transport::TransportOptions options;
+  options.node = settings.node;
+  options.incarnation = incarnation;
+  options.frame_bytes = static_cast<std::size_t>(settings.limits.frame_bytes);
+  options.streams = static_cast<std::size_t>(settings.limits.streams);
+  options.connections = static_cast<std::size_t>(settings.limits.peer_connections);
+  options.ping_interval = settings.transport.ping_interval;
+  options.silence_timeout = settings.transport.silence_timeout;
+  options.connect_timeout = settings.transport.connect_timeout;
+  return options;
+}
+
+http::HttpServerOptions MakeHttpOptions(const settings::NodeSettings& settings) {
+  http::HttpServerOptions options;
+  options.connections = static_cast<std::size_t>(settings.limits.caller_connections);
+  options.header_bytes = static_cast<std::size_t>(settings.limits.header_bytes);
+  options.body_bytes = static_cast<std::size_t>(settings.limits.body_bytes);
+  return options;
+}
+
+}  // namespace
+
+struct Node::State {
+  explicit State(settings::NodeSettings node_settings);
+  ~State() { Stop(); }
+
+  transport::TransportHooks MakeTransportHooks();
+  GateHooks MakeGateHooks();
+  void SubscribeTimers();
+  void StartThreads();
+  void StartServers();
+  void PullNotes();
+  metrics::NodeGauges Gauges() const;
+  bool Drain();
+  void Stop();
+
+  const settings::NodeSettings settings;
+  asio::io_context context;
+  asio::executor_work_guard<asio::io_context::executor_type> work{asio::make_work_guard(context)};
+  timer::TimerService timers{base::SystemClock()};
+  transport::TimerDriver driver{context, timers};
+  PolicyTable policies;
+  metrics::NodeMetrics metrics;
+  tracing::SpanExporter spans;
+  const NodeServices services;
+  membership::Incarnation incarnation;
+
+  ControlChannel channel;
+  RunningRequests running;
+  RoutingTable routes;
+  UpstreamGate gate;
+  InboundCalls inbound;
+  transport::PeerTransport transport;
+  NodeEndpoints endpoints;
+  std::unique_ptr<MembershipTable> members;
+  std::unique_ptr<NoteTable> note_table;
+  CallSender sender;
+  AttemptLoop attempts;
+  RequestEntry entry;
+  LocalHttp local_http;
+  std::unique_ptr<OperatorApi> operator_api;
+  http::HttpServer caller_server;
+  http::HttpServer local_server;
+  std::unique_ptr<control_rpc::RpcServer> operator_server;
+  std::vector<std::thread> threads;
+  bool is_stopped = false;
+};
+
+Node::State::State(settings::NodeSettings node_settings)
+    : settings(std::move(node_settings)),
+      spans(settings.node, tracing::WriteLinesTo(settings.span_file), kSpanQueue),
+      services{settings,
+               base::SystemClock(),
+               base::SystemWallClock(),
+               ThreadRandom(),
+               policies,
+               metrics,
+               spans,
+               timers},
+      incarnation(base::SystemWallClock()),
+      channel(settings.node, settings.control_peers,
+              [this](std::function<void()> task) { asio::post(context, std::move(task)); }),
+      routes(services),
+      gate(services, running, MakeGateHooks()),
+      inbound(services, gate),
+      transport(context, MakeTransportOptions(settings, incarnation.Next()), MakeTransportHooks()),
+      sender(services, gate, transport),
+      attempts(services, routes, sender,
+               [this](const std::string& service, base::TimePoint until) {
+                 members->Discover(service, until);
+               }),
+      entry(services, routes, running, attempts),
+      local_http(entry, gate,
+                 {[this] { return metrics.Collect(Gauges()); },
+                  [this] {
+                    return policies.current()->number() > 0 && !gate.status().admission.is_leaving;
+                  }}),
+      caller_server(MakeHttpOptions(settings),
+                    [this](const http::HttpRequest& request) {
+                      return entry.Handle(request, CallerKind::kOutside);
+                    }),
+      local_server(MakeHttpOptions(settings), [this](const http::HttpRequest& request) {
+        return local_http.Handle(request);
+      }) {
+  channel.Attach(transport);
+  endpoints.peers = transport.Listen(settings.peers);
+  members =
+      std::make_unique<MembershipTable>(services, incarnation, endpoints.peers, channel, routes);
+  policies.AddListener([this](const notes::Policy& policy) { gate.ApplyPolicy(policy); });
+  note_table = std::make_unique<NoteTable>(
+      note_log::NoteStorage{[] { return std::nullopt; }, [](const std::string&) {}}, policies);
+  PullNotes();
+  operator_api = std::make_unique<OperatorApi>(services, *note_table, *members, gate);
+  SubscribeTimers();
+  StartThreads();
+  StartServers();
+  base::Log(base::LogLevel::kInfo, "node_started",
+            {{"node", settings.node},
+             {"zone", settings.zone},
+             {"callers", settings::FormatEndpoint(endpoints.callers)},
+             {"local", settings::FormatEndpoint(endpoints.local)},
+             {"peers", settings::FormatEndpoint(endpoints.peers)},
+             {"operators", settings::FormatEndpoint(endpoints.operators)}});
+}
+
+transport::TransportHooks Node::State::MakeTransportHooks() {
+  transport::TransportHooks hooks;
+  hooks.handle_request = [this](const std::string&, transport::InboundRequestId id,
+                                wire::Request request, transport::Responder respond) {
+    inbound.Start(id, std::move(request), std::move(respond));
+  };
+  hooks.handle_cancel = [this](transport::InboundRequestId id) { inbound.Cancel(id); };
+  hooks.handle_control = [this](const std::string& from, wire::Channel control_channel,
+                                const std::string& payload) {
+    channel.Receive(from, control_channel, payload);
+  };
+  return hooks;
+}
+
+GateHooks Node::State::MakeGateHooks() {
+  GateHooks hooks;
+  hooks.upstream_changed = [this](const std::optional<membership::UpstreamData>& upstream) {
+    members->SetUpstream(upstream);
+  };
+  hooks.level_below = [this] {
+    const auto data = gate.status().upstream;
+    return data ? routes.WorstAlong(policies.current()->FindCallPath(data->service))
+                : admission::AdmissionLevel();
+  };
+  hooks.once.acquire = [](const wire::Request&, base::TimePoint) {
+    return std::optional<wire::Response>();
+  };
+  hooks.once.finish = [](const wire::Request&, const wire::Response*) {};
+  return hooks;
+}
+
+// Nodes ask a control host for newer notes.
+void Node::State::PullNotes() {
+  channel.Handle(wire::Channel::kNotes, [this](const std::string& from,
+                                               const std::string& payload) {
+    if (payload.starts_with("since ")) {
+      channel.Send(from, wire::Channel::kNotes,
+                   note_log::EncodeDelta(note_table->DeltaSince(std::stoull(payload.substr(6)))));
+    } else {
+      note_table->Offer(note_log::DecodeDelta(payload));
+    }
+  });
+}
+
+void Node::State::SubscribeTimers() {
+  timers.SubscribeEvery(kGateTick, [this](base::TimePoint) { gate.Tick(); });
+  timers.SubscribeEvery(kMembershipTick, [this](base::TimePoint) { members->Tick(); });
+  timers.SubscribeEvery(kRoutingTick, [this](base::TimePoint) { routes.Expire(); });
+  timers.SubscribeEvery(settings.transport.ping_interval,
+                        [this](base::TimePoint) { transport.CheckHeartbeats(); });
+  timers.SubscribeEvery(milliseconds(500), [this](base::TimePoint) {
+    channel.Send(settings.control_peers.front().node, wire::Channel::kNotes,
+                 fmt::format("since {}", note_table->number()));
+  });
+}
+
+void Node::State::StartThreads() {
+  driver.Start();
+  for (std::int64_t i = 0; i < settings.transport.io_threads; ++i) {
+    threads.emplace_back([this] { context.run(); });
+  }
+}
+
+void Node::State::StartServers() {
+  endpoints.callers = caller_server.Start(settings.callers);
+  endpoints.local = local_server.Start(settings.local);
+  operator_server = std::make_unique<control_rpc::RpcServer>(
+      control_rpc::LoadToken(settings.token_file), operator_api->Methods());
+  endpoints.operators = operator_server->Start(settings.operators);
+}
+
+metrics::NodeGauges Node::State::Gauges() const {
+  const GateStatus status = gate.status();
+  const transport::TransportCounters counters = transport.counters();
+  metrics::NodeGauges gauges;
+  gauges.in_flight = static_cast<double>(status.admission.running);
+  gauges.limit = static_cast<double>(status.admission.limit);
+  gauges.queued = static_cast<double>(status.admission.waiting);
+  gauges.note_number = static_cast<double>(policies.current()->number());
+  gauges.peer_connections = static_cast<double>(transport.connection_count());
+  gauges.lease_age_seconds = std::chrono::duration<double>(members->view_age()).count();
+  gauges.spans_dropped = static_cast<double>(spans.dropped());
+  gauges.control_bytes_sent = static_cast<double>(counters.control_bytes_sent);
+  return gauges;
+}
+
+bool Node::State::Drain() {
+  entry.BeginLeaving();
+  members->SetNodeState(membership::NodeState::kLeaving);
+  gate.BeginNodeStop();
+  const base::TimePoint limit = services.clock() + settings.drain_timeout;
+  while ((!gate.is_idle() || entry.in_progress() > 0) && services.clock() < limit) {
+    std::this_thread::sleep_for(kDrainCheck);
+  }
+  const bool is_drained = gate.is_idle() && entry.in_progress() == 0;
+  members->SetNodeState(membership::NodeState::kStopped);
+  std::this_thread::sleep_for(kFarewell);
+  return is_drained;
+}
+
+void Node::State::Stop() {
+  if (is_stopped) {
+    return;
+  }
+  is_stopped = true;
+  if (operator_server != nullptr) {
+    operator_server->Stop();
+  }
+  caller_server.Stop();
+  local_server.Stop();
+  driver.Stop();
+  transport.Stop();
+  work.reset();
+  // Connections end on the event loop; what hangs on there is dropped with it.
+  std::this_thread::sleep_for(kDrainCheck);
+  context.stop();
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+}
+
+Node::Node(settings::NodeSettings settings)
+    : state_(std::make_unique<State>(std::move(settings))) {}
+
+Node::~Node() = default;
+
+const NodeEndpoints& Node::endpoints() const { return state_->endpoints; }
+
+bool Node::Drain() { return state_->Drain(); }
+
+}  // namespace borageloft::node
--- /dev/null
+++ b/libraries/node/operator_api.h
@@ -0,0 +1,41 @@
+#ifndef BORAGELOFT_NODE_OPERATOR_API_H_
+#define BORAGELOFT_NODE_OPERATOR_API_H_
+
+#include <map>
+#include <string>
+
+#include "libraries/control_rpc/control_rpc.h"
+#include "libraries/node/membership_table.h"
+#include "libraries/node/node_services.h"
+#include "libraries/node/note_table.h"
+#include "libraries/node/upstream_gate.h"
+
+namespace borageloft::node {
+
+/** Carries out the operator's calls to this node. */
+class OperatorApi {
+ public:
+  OperatorApi(const NodeServices& services, NoteTable& notes, MembershipTable& members,
+              UpstreamGate& gate);
+
+  /** @return The methods by name, for the RPC server. */
+  std::map<std::string, control_rpc::RpcMethod> Methods();
+
+ private:
+  Json::Value CheckNote(const Json::Value& parameters) const;
+  Json::Value SubmitNote(const Json::Value& parameters);
+  Json::Value ShowNote(const Json::Value& parameters) const;
+  Json::Value History() const;
+  Json::Value Status() const;
+  Json::Value Upstreams(const Json::Value& parameters) const;
+  Json::Value Drain();
+
+  const NodeServices& services_;
+  NoteTable& notes_;
+  MembershipTable& members_;
+  UpstreamGate& gate_;
+};
+
+}  // namespace borageloft::node
+
+#endif  // BORAGELOFT_NODE_OPERATOR_API_H_
--- a/libraries/notes/policy_text.cc
+++ b/libraries/notes/policy_text.cc
@@ -74,8 +74,8 @@
   const LimitPolicy& limits = policy.limits();
   text += fmt::format("[changed limit queue_length]\nvalue = {}\n", limits.queue_length);
   text += fmt::format("[changed limit concurrency]\nvalue = {}\n", limits.concurrency);
-  text +=
-      fmt::format("[changed limit retry_budget]\nvalue = {:.6g}%\n", limits.retry_budget * kPercent);
+  text += fmt::format("[changed limit retry_budget]\nvalue = {:.6g}%\n",
+                      limits.retry_budget * kPercent);
   return text;
 }
 
--- a/libraries/settings/node_settings.cc
+++ b/libraries/settings/node_settings.cc
@@ -91,9 +91,9 @@
     if (settings_.control_peers.size() > kMaximumControlHosts) {
       parser.AddIssue("peers", "names more than 16 control hosts");
     }
-    const bool has_own_region = std::any_of(
-        settings_.control_peers.begin(), settings_.control_peers.end(),
-        [this](const ControlPeer& peer) { return peer.region == settings_.region; });
+    const bool has_own_region =
+        std::any_of(settings_.control_peers.begin(), settings_.control_peers.end(),
+                    [this](const ControlPeer& peer) { return peer.region == settings_.region; });
     if (!has_own_region) {
       parser.AddIssue("peers", "names no control host of this node's region");
     }
--- a/libraries/settings/value_parser.cc
+++ b/libraries/settings/value_parser.cc
@@ -99,9 +99,9 @@
 
 bool ValueParser::Has(const std::string& key) { return Lookup(key) != nullptr; }
 
-std::string ValueParser::Text(const std::string& key, std::string fallback) {
+std::string ValueParser::Text(const std::string& key, const std::string& fallback) {
   const IniEntry* entry = Lookup(key);
-  return entry == nullptr ? std::move(fallback) : entry->value;
+  return entry == nullptr ? fallback : entry->value;
 }
 
 std::string ValueParser::RequiredText(const std::string& key) {
--- a/libraries/settings/value_parser.h
+++ b/libraries/settings/value_parser.h
@@ -32,7 +32,7 @@
   bool Has(const std::string& key);
 
   /** @return The text, or @p fallback when the key is missing. */
-  std::string Text(const std::string& key, std::string fallback);
+  std::string Text(const std::string& key, const std::string& fallback);
 
   /** @return The text; a missing or empty value is a fault. */
   std::string RequiredText(const std::string& key);
