--- a/libraries/admission/admission_gate.cc
+++ b/libraries/admission/admission_gate.cc
@@ -71,7 +71,8 @@
   running_.erase(found);
   --classes_.at(request_class.rank).running;
   ++CountersOf(request_class).finished[static_cast<std::size_t>(outcome)];
-  controller_.RecordFinish();
+  controller_.RecordFinish(static_cast<double>(in_flight) /
+                           static_cast<double>(concurrency_.limit()));
   if (outcome == Outcome::kSucceeded || outcome == Outcome::kFailed) {
     service_time_ += service_time_ == base::Duration::zero()
                          ? service_time
@@ -124,6 +125,7 @@
   snapshot.limit = concurrency_.limit();
   snapshot.running = running_.size();
   snapshot.waiting = queue_.size();
+  snapshot.reference_latency = concurrency_.reference_latency();
   snapshot.service_time = service_time_;
   snapshot.queueing_delay = controller_.queueing_delay();
   snapshot.level = controller_.level();
@@ -156,7 +158,9 @@
 std::optional<Reason> AdmissionGate::MakeRoom(const Ticket& ticket, base::TimePoint now,
                                               GateChanges& changes) {
   const ClassRank rank = ticket.request_class.rank;
-  const bool is_admitted = level().Admits(rank, ticket.key);
+  // Work has been done for a request from further up, so only a full queue refuses it; the level
+  // acts at the entry, where it is known from answers, and on requests that come straight from it.
+  const bool is_admitted = ticket.depth > 0 || level().Admits(rank, ticket.key);
   const bool may_run = queue_.size(rank) == 0 && MayRun(rank, now);
   if (is_admitted && (may_run || !queue_.is_full(rank))) {
     return std::nullopt;
@@ -269,8 +273,11 @@
 }
 
 void AdmissionGate::UpdateLevel(base::TimePoint now) {
+  // A wait of two service times is no overload yet: chance alone brings it about near capacity.
+  controller_.set_target_delay(
+      std::max(limits_.target_delay, 2 * concurrency_.reference_latency()));
   const auto oldest = queue_.oldest();
-  controller_.Update(oldest ? now - *oldest : base::Duration::zero(), queue_.size(), now);
+  controller_.Update(oldest ? now - *oldest : base::Duration::zero(), now);
   queue_.set_newest_first(controller_.is_standing());
 }
 
--- a/libraries/admission/admission_level.h
+++ b/libraries/admission/admission_level.h
@@ -34,6 +34,11 @@
     return rank < rank_ || (rank == rank_ && key.position() < share_);
   }
 
+  /** @return Admitted keys of class @p rank, out of ShedKey::kPositions. */
+  constexpr std::uint32_t ShareOf(ClassRank rank) const {
+    return rank < rank_ ? ShedKey::kPositions : rank == rank_ ? share_ : 0;
+  }
+
   /** @return Whether everything is admitted. */
   constexpr bool is_open() const {
     return rank_ == std::numeric_limits<ClassRank>::max() && share_ == ShedKey::kPositions;
--- a/libraries/admission/concurrency_limit.cc
+++ b/libraries/admission/concurrency_limit.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 #include "libraries/admission/admission_error.h"
 
@@ -11,26 +12,45 @@
 
 // A window needs samples enough that the spread of service times does not look like a trend, and
 // at least one service time so that requests started after a change are among them.
-constexpr std::size_t kMinSamples = 16;
+constexpr std::size_t kMinSamples = 40;
+
+// Whether a cut helped is told from twice as many, as a wrong answer makes a queue the reference.
+constexpr std::size_t kMinSamplesAfterCut = 80;
 constexpr base::Duration kMinWindow = std::chrono::milliseconds(20);
 constexpr base::Duration kMaxWindow = std::chrono::seconds(1);
 
-// Latency up to this multiple of the reference is accepted. A little queueing inside the upstream
-// is the only sign that the limit is high enough for full throughput.
-constexpr double kTolerance = 1.5;
+// The limit is raised up to the first multiple of the reference latency and cut above the second. A
+// little queueing inside the upstream is the only sign that the limit is high enough for full
+// throughput; more of it only hides the queue from the class order.
+constexpr double kRaiseBelow = 1.25;
+constexpr double kTolerance = 2;
+
+// Inflation above this multiple cuts at once; below it a second window has to confirm it, since
+// the mean of 40 exponential service times strays by 16%.
+constexpr double kCertainInflation = 3;
+
+// A cut takes the limit to a share within these bounds. A smaller cut would change latency by less
+// than the spread of a window, so its effect could not be told; a larger one may follow an outlier.
+constexpr double kLargestCut = 0.6;
+constexpr double kSmallestCut = 0.75;
+
+// Growth of a limit that is below the one that was cut, which has been reached before.
+constexpr double kRegrowth = 1.25;
 
-// One window never cuts the limit below this share, since its samples may still be an outlier.
-constexpr double kLargestCut = 0.5;
+// Growth of a limit that has not been reached before.
+constexpr double kGrowth = 0.1;
 
 // An upstream that refuses more than this share of a window for overload is cut without regard to
 // latency, since refusals are fast.
 constexpr double kOverloadedShare = 0.05;
 constexpr double kOverloadedCut = 0.8;
 
-// The reference follows lower windows quickly and higher ones slowly: a reference that is too high
-// hides queueing, one that is too low only costs a probe.
-constexpr double kReferenceDown = 0.3;
-constexpr double kReferenceUp = 0.01;
+// Weight of a window below the reference. Windows above it never raise it, or a standing queue
+// inside the upstream would become the reference; only a cut without effect does.
+constexpr double kReferenceRate = 0.2;
+
+// A window below this share of the reference is no outlier: a slow upstream has recovered.
+constexpr double kCertainFall = 0.5;
 
 }  // namespace
 
@@ -53,6 +73,11 @@
 
 void ConcurrencyLimit::Record(base::Duration latency, Outcome outcome, std::size_t in_flight,
                               base::TimePoint now) {
+  if (to_skip_ > 0) {
+    --to_skip_;
+    StartWindow(now);
+    return;
+  }
   if (count_ == 0 && overloaded_ == 0) {
     StartWindow(now);
   }
@@ -63,12 +88,14 @@
     // A cancelled request ended early, so its time says nothing about the upstream.
     ++count_;
     latency_sum_ += static_cast<double>(latency.count());
+    in_flight_sum_ += static_cast<double>(in_flight);
   }
+  const double mean = latency_sum_ / static_cast<double>(std::max<std::size_t>(count_, 1));
   const base::Duration elapsed = now - window_start_;
-  if (elapsed >= kMaxWindow ||
-      (count_ + overloaded_ >= kMinSamples && elapsed >= kMinWindow &&
-       static_cast<double>(elapsed.count()) * 1.0 >=
-           latency_sum_ / static_cast<double>(std::max<std::size_t>(count_, 1)))) {
+  const std::size_t samples = limit_before_cut_ > 0 ? kMinSamplesAfterCut : kMinSamples;
+  const bool is_full = count_ + overloaded_ >= samples && elapsed >= kMinWindow &&
+                       static_cast<double>(elapsed.count()) >= mean;
+  if (is_full || elapsed >= kMaxWindow) {
     CloseWindow(now);
   }
 }
@@ -90,9 +117,7 @@
     return;
   }
   if (limit_before_cut_ > 0) {
-    const double expected_fall = 1 - limit_ / limit_before_cut_;
-    const double fall = 1 - latency / latency_before_cut_;
-    if (fall < expected_fall / 2) {
+    if (IsCutUseless(latency)) {
       SetLimit(limit_before_cut_);
       reference_ = latency;
       limit_before_cut_ = 0;
@@ -101,25 +126,50 @@
     limit_before_cut_ = 0;
   }
   const double inflation = latency / reference_;
-  reference_ += (latency - reference_) * (inflation < 1 ? kReferenceDown : kReferenceUp);
-  const bool is_used_in_full = static_cast<double>(max_in_flight_) >= std::floor(limit_);
+  if (inflation < 1) {
+    reference_ += (latency - reference_) * (inflation < kCertainFall ? 1 : kReferenceRate);
+  }
   if (inflation > kTolerance) {
-    const double cut = std::max(kLargestCut, kTolerance / inflation);
-    limit_before_cut_ = limit_;
-    latency_before_cut_ = latency;
-    // The cut starts from what was in use: a limit above it did not bring the latency about.
-    SetLimit(std::min(limit_, static_cast<double>(std::max<std::size_t>(max_in_flight_, 1))) * cut);
-  } else if (is_used_in_full) {
-    SetLimit(limit_ + std::max(1.0, std::sqrt(limit_) / 2));
+    if (inflation > kCertainInflation || std::exchange(is_suspect_, true)) {
+      Cut(latency, inflation);
+    }
+    return;
+  }
+  is_suspect_ = false;
+  if (inflation < kRaiseBelow && static_cast<double>(max_in_flight_) >= std::floor(limit_)) {
+    SetLimit(limit_ < regrowth_bound_ ? std::min(limit_ * kRegrowth + 1, regrowth_bound_)
+                                      : limit_ + std::max(1.0, limit_ * kGrowth));
   }
 }
 
+bool ConcurrencyLimit::IsCutUseless(double latency) const {
+  // By Little's law throughput is requests in flight over latency. A cut that lowered latency keeps
+  // it; a cut that did not lowers it by as much as the requests in flight.
+  const double in_flight = in_flight_sum_ / static_cast<double>(count_);
+  const double kept_in_flight = std::min(in_flight / in_flight_before_cut_, 1.0);
+  const double kept_throughput = kept_in_flight * latency_before_cut_ / latency;
+  return kept_throughput < (1 + kept_in_flight) / 2;
+}
+
+void ConcurrencyLimit::Cut(double latency, double inflation) {
+  is_suspect_ = false;
+  limit_before_cut_ = limit_;
+  latency_before_cut_ = latency;
+  in_flight_before_cut_ = in_flight_sum_ / static_cast<double>(count_);
+  regrowth_bound_ = limit_;
+  // The cut starts from what was in use: a limit above it did not bring the latency about.
+  const auto used = static_cast<double>(std::max<std::size_t>(max_in_flight_, 1));
+  to_skip_ = max_in_flight_;
+  SetLimit(std::min(limit_, used) * std::clamp(kRaiseBelow / inflation, kLargestCut, kSmallestCut));
+}
+
 void ConcurrencyLimit::StartWindow(base::TimePoint now) {
   window_start_ = now;
   count_ = 0;
   overloaded_ = 0;
   max_in_flight_ = 0;
   latency_sum_ = 0;
+  in_flight_sum_ = 0;
 }
 
 void ConcurrencyLimit::SetLimit(double limit) { limit_ = std::clamp(limit, 1.0, slots_); }
--- a/libraries/admission/concurrency_limit.h
+++ b/libraries/admission/concurrency_limit.h
@@ -47,6 +47,8 @@
  private:
   void CloseWindow(base::TimePoint now);
   void Adjust(double latency);
+  bool IsCutUseless(double latency) const;
+  void Cut(double latency, double inflation);
   void StartWindow(base::TimePoint now);
   void SetLimit(double limit);
 
@@ -54,15 +56,23 @@
   double limit_;
   double reference_ = 0;  // Nanoseconds.
 
-  // Limit and latency before the last cut while its effect is being observed; zero otherwise.
+  // Limit, latency and requests in flight before the last cut while its effect is being observed;
+  // the limit is zero otherwise.
   double limit_before_cut_ = 0;
   double latency_before_cut_ = 0;
+  double in_flight_before_cut_ = 0;
+
+  double regrowth_bound_ = 0;  // Limit before the last cut.
+  bool is_suspect_ = false;    // The last window was inflated.
+
+  std::size_t to_skip_ = 0;  // Requests still to end that started before the last cut.
 
   base::TimePoint window_start_{};
   std::size_t count_ = 0;
   std::size_t overloaded_ = 0;
   std::size_t max_in_flight_ = 0;
   double latency_sum_ = 0;
+  double in_flight_sum_ = 0;
 };
 
 }  // namespace borageloft::admission
--- a/libraries/admission/gate_counters.h
+++ b/libraries/admission/gate_counters.h
@@ -30,8 +30,9 @@
   std::size_t limit = 0;  ///< Current concurrency limit, 1 to slots.
   std::size_t running = 0;
   std::size_t waiting = 0;
-  base::Duration service_time{};    ///< Smoothed time from start to finish.
-  base::Duration queueing_delay{};  ///< Mean of the last control interval.
+  base::Duration reference_latency{};  ///< Own latency of the unloaded upstream.
+  base::Duration service_time{};       ///< Smoothed time from start to finish.
+  base::Duration queueing_delay{};     ///< Mean of the last control interval.
   AdmissionLevel level;
   bool is_leaving = false;
   std::map<std::string, ClassCounters> classes;  ///< By class name.
--- a/libraries/admission/gate_limits.h
+++ b/libraries/admission/gate_limits.h
@@ -26,7 +26,7 @@
 struct GateLimits {
   std::size_t slots = 1;  ///< Requests that the upstream announced it can run at once, at least 1.
 
-  /** Queueing delay that the admission level is steered to. */
+  /** Queueing delay that the admission level is steered to, unless service takes longer. */
   base::Duration target_delay = std::chrono::milliseconds(10);
 
   /**
--- a/libraries/admission/level_controller.cc
+++ b/libraries/admission/level_controller.cc
@@ -16,25 +16,54 @@
 // that it has recovered.
 constexpr std::uint32_t kSmallestShare = ShedKey::kPositions / 256;
 
-constexpr double kLearnRate = 0.3;
+// Weight of one interval in the smoothed measures. A gate of 250 requests per second sees about 12
+// in an interval, whose spread of 30% has to be averaged out.
+constexpr double kSmoothing = 0.2;
 
-// Part of the backlog that one interval is meant to work off. The full backlog would undershoot,
-// since part of it is the queue that keeps the slots busy.
-constexpr double kBacklogGain = 0.5;
+// Weight of one interval in the capacity, which changes less often than demand.
+constexpr double kCapacitySmoothing = 0.15;
 
-// The level changes at most by these factors in one interval. Nine steps at the upper bound open it
-// tenfold, which leaves half of the second that recovery may take.
+// Share by which the remembered demand of a class falls in one interval, which halves it in 1.7 s.
+constexpr double kForgetting = 0.02;
+
+// Work admitted while the delay is above target, as a share of the work finished: less by this for
+// each multiple of the target, down to a bound that empties a queue without idling the upstream.
+constexpr double kDrainGain = 0.05;
+constexpr double kLargestDrain = 0.2;
+
+// One interval closes at most by this factor, since its measures may be outliers.
 constexpr double kSmallestFactor = 0.5;
-constexpr double kLargestFactor = 1.3;
 
-// A class that has not been seen is taken to ask for at least this share of the work admitted.
-constexpr double kUnknownDemandShare = 0.05;
+// Below this share of the capacity found last, the level opens to it at once.
+constexpr double kSafeCapacityShare = 0.9;
+
+// From there it opens by a small step in each calm interval. If the upstream stays mostly idle for
+// some intervals, the capacity has grown, and each further interval opens by a larger step: tenfold
+// takes 0.65 s, which fits into the second that recovery may take.
+constexpr std::uint32_t kCarefulIntervals = 5;
+constexpr std::uint32_t kLargestCalm = 10;
+constexpr double kCarefulStep = 0.03;
+constexpr double kOpeningStep = 0.1;
+
+// Below this share of the concurrency limit in use, an upstream is mostly idle. Near its capacity
+// it uses more, since the limit is little above what it can work on at once.
+constexpr double kIdle = 0.4;
+
+// The share of a class grows in one interval at most to twice itself and this, since the demand
+// behind it is only an estimate.
+constexpr std::uint32_t kLargestShareStep = ShedKey::kPositions / 16;
+
+std::uint32_t ToShare(double share) {
+  return static_cast<std::uint32_t>(
+      std::clamp(share, 0.0, static_cast<double>(ShedKey::kPositions)));
+}
 
 }  // namespace
 
 LevelController::LevelController(base::Duration target_delay, base::Duration interval)
     : target_delay_(target_delay), interval_(interval) {
   Configure(target_delay, interval);
+  ceilings_.fill({0, 0});
 }
 
 void LevelController::Configure(base::Duration target_delay, base::Duration interval) {
@@ -47,6 +76,8 @@
 
 void LevelController::RecordArrival(ClassRank rank, ShedKey key) {
   Demand& demand = demands_[rank];
+  AdmissionLevel& ceiling = ceilings_[next_recent_];
+  ceiling = std::max(ceiling, {rank, key.position() + 1});
   ++demand.offered;
   if (level_.Admits(rank, key)) {
     ++demand.admitted;
@@ -59,7 +90,7 @@
   wait_min_ = std::min(wait_min_, wait);
 }
 
-void LevelController::Update(base::Duration oldest_wait, std::size_t waiting, base::TimePoint now) {
+void LevelController::Update(base::Duration oldest_wait, base::TimePoint now) {
   if (!has_started_) {
     has_started_ = true;
     StartInterval(now);
@@ -70,72 +101,132 @@
   }
   delay_ = waits_ > 0 ? wait_sum_ / static_cast<base::Duration::rep>(waits_) : oldest_wait;
   is_standing_ = waits_ > 0 ? wait_min_ > target_delay_ : oldest_wait > target_delay_;
-  double admitted = 0;
-  for (const auto& [rank, demand] : demands_) {
-    admitted += static_cast<double>(demand.admitted);
-  }
-  Learn();
+  Measure();
   const double ratio =
       static_cast<double>(delay_.count()) / static_cast<double>(target_delay_.count());
-  if (ratio > 1 || !level_.is_open()) {
-    level_ = LevelAt(Position() * Allowed(ratio, admitted, waiting));
+  if (ratio > 1) {
+    calm_intervals_ = 0;
+    Adopt(Closed(ClosingFactor(ratio)));
+  } else {
+    const AdmissionLevel opened = Opened(OpeningFactor(ratio));
+    Adopt(calm_intervals_ > kCarefulIntervals ? opened
+                                              : std::max(level_, std::min(opened, Reachable())));
   }
+  recent_[next_recent_] = level_;
+  next_recent_ = (next_recent_ + 1) % kRecentIntervals;
+  ceilings_[next_recent_] = {0, 0};
   StartInterval(now);
 }
 
-void LevelController::Learn() {
+AdmissionLevel LevelController::recent_level() const {
+  return std::max(level_, *std::ranges::max_element(recent_));
+}
+
+void LevelController::Measure() {
+  const auto finished = static_cast<double>(finished_);
+  if (delay_ > target_delay_) {
+    // Only while requests wait is the outflow what the upstream can do.
+    capacity_ += (finished - capacity_) * (capacity_ == 0 ? 1 : kCapacitySmoothing);
+  }
   for (auto& [rank, demand] : demands_) {
-    double measured = 0;
-    if (rank < level_.rank()) {
-      measured = static_cast<double>(demand.offered);
-    } else if (rank == level_.rank() && level_.share() >= kSmallestLearnedShare) {
-      measured = static_cast<double>(demand.admitted) * ShedKey::kPositions / level_.share();
-    } else {
-      // Callers hold most of this class back, so what arrives is a lower bound.
-      demand.full = std::max(demand.full, static_cast<double>(demand.offered));
-      continue;
+    const auto admitted = static_cast<double>(demand.admitted);
+    demand.inflow += (admitted - demand.inflow) * kSmoothing;
+    double full = demand.inflow;
+    if (rank == level_.rank() && level_.share() >= kSmallestLearnedShare) {
+      full = demand.inflow * ShedKey::kPositions / level_.share();
     }
-    demand.full += (measured - demand.full) * (demand.full == 0 ? 1.0 : kLearnRate);
+    demand.full = std::max(full, demand.full * (1 - kForgetting));
   }
 }
 
-double LevelController::Position() const {
-  double position = 0;
+double LevelController::TotalInflow() const {
+  double total = 0;
   for (const auto& [rank, demand] : demands_) {
-    if (rank < level_.rank()) {
-      position += demand.full;
-    } else if (rank == level_.rank()) {
-      position += demand.full * level_.share() / ShedKey::kPositions;
-    }
+    total += demand.inflow;
   }
-  return position;
+  return total;
+}
+
+double LevelController::ClosingFactor(double delay_ratio) const {
+  // The target is absolute: a queue takes several intervals to empty, and closing further in each
+  // of them would leave the upstream idle afterwards.
+  const double drain = std::min(kDrainGain * (delay_ratio - 1), kLargestDrain);
+  const double inflow = TotalInflow();
+  return inflow > 0 ? std::clamp(capacity_ * (1 - drain) / inflow, kSmallestFactor, 1.0) : 1.0;
 }
 
-double LevelController::Allowed(double delay_ratio, double admitted, std::size_t waiting) const {
-  const double finished = static_cast<double>(finished_);
-  if (delay_ratio > 1) {
-    // The queue that the target delay stands for is wanted; only the rest is backlog.
-    const double excess = static_cast<double>(waiting) * (1 - 1 / delay_ratio);
-    const double wanted = finished - kBacklogGain * excess;
-    return std::clamp(admitted > 0 ? wanted / admitted : 1.0, kSmallestFactor, 1.0);
+double LevelController::OpeningFactor(double delay_ratio) {
+  const double utilization =
+      finished_ > 0 ? std::min(utilization_sum_ / static_cast<double>(finished_), 1.0) : 0;
+  calm_intervals_ = utilization > kIdle ? 1 : std::min(calm_intervals_ + 1, kLargestCalm);
+  if (calm_intervals_ > kCarefulIntervals) {
+    return 1 + kOpeningStep * (calm_intervals_ - kCarefulIntervals);
   }
-  return 1 + (kLargestFactor - 1) * (1 - delay_ratio);
+  const double inflow = TotalInflow();
+  const double safe = capacity_ * kSafeCapacityShare;
+  return inflow > 0 && inflow < safe ? safe / inflow : 1 + kCarefulStep * (1 - delay_ratio);
 }
 
-AdmissionLevel LevelController::LevelAt(double position) const {
-  double total = 0;
-  for (const auto& [rank, demand] : demands_) {
-    total += demand.full;
+AdmissionLevel LevelController::Reachable() const {
+  // Callers act on the median level of the service. When no request near this gate's own level
+  // comes, they hold back at a lower one, and opening further would not bring more work, but would
+  // let all of it in at once when the median follows.
+  const AdmissionLevel ceiling = *std::ranges::max_element(ceilings_);
+  const std::uint32_t share = ceiling.share() + kLargestShareStep;
+  if (share <= ShedKey::kPositions) {
+    return {ceiling.rank(), share};
+  }
+  const auto next = demands_.upper_bound(ceiling.rank());
+  return next == demands_.end() ? AdmissionLevel()
+                                : AdmissionLevel(next->first, share - ShedKey::kPositions);
+}
+
+void LevelController::Adopt(AdmissionLevel level) {
+  // The measured inflow is smoothed over several intervals. Scaling it to the new level keeps the
+  // next decisions from correcting once more what this one has corrected.
+  for (auto& [rank, demand] : demands_) {
+    const double before = level_.ShareOf(rank);
+    const double after = level.ShareOf(rank);
+    if (before >= kSmallestLearnedShare) {
+      demand.inflow *= after / before;
+    } else if (after > before) {
+      demand.inflow = demand.full * after / ShedKey::kPositions;
+    }
   }
-  double below = 0;
+  level_ = level;
+}
+
+AdmissionLevel LevelController::Closed(double factor) const {
+  double left = TotalInflow() * factor;
   for (const auto& [rank, demand] : demands_) {
-    const double full = std::max({demand.full, total * kUnknownDemandShare, 1.0});
-    if (position < below + full) {
-      const double share = (position - below) / full * ShedKey::kPositions;
+    if (demand.inflow > left) {
+      const double whole = rank == level_.rank() ? level_.share() : ShedKey::kPositions;
+      const std::uint32_t share = ToShare(whole * left / demand.inflow);
       const bool is_first = rank == demands_.begin()->first;
-      return {rank, std::max(static_cast<std::uint32_t>(share), is_first ? kSmallestShare : 1)};
+      return std::min(level_, {rank, std::max(share, is_first ? kSmallestShare : 1)});
+    }
+    left -= demand.inflow;
+  }
+  return level_;
+}
+
+AdmissionLevel LevelController::Opened(double factor) const {
+  if (level_.is_open()) {
+    return level_;
+  }
+  double extra = std::max(TotalInflow() * (factor - 1), 0.0);
+  for (auto found = demands_.lower_bound(level_.rank()); found != demands_.end(); ++found) {
+    const double share = found->first == level_.rank() ? level_.share() : 0;
+    const double full = std::max(found->second.full, 1.0);
+    const double wanted = std::max(share + extra / full * ShedKey::kPositions, share * factor);
+    const double opened = std::min(wanted, 2 * share + kLargestShareStep);
+    if (opened < ShedKey::kPositions) {
+      return {found->first, std::max(ToShare(opened), 1U)};
+    }
+    extra -= full * (1 - share / ShedKey::kPositions);
+    if (extra <= 0) {
+      return {found->first, ShedKey::kPositions};
     }
-    below += full;
   }
   return {};
 }
@@ -143,6 +234,7 @@
 void LevelController::StartInterval(base::TimePoint now) {
   interval_start_ = now;
   finished_ = 0;
+  utilization_sum_ = 0;
   waits_ = 0;
   wait_sum_ = base::Duration::zero();
   wait_min_ = base::Duration::max();
--- a/libraries/admission/level_controller.h
+++ b/libraries/admission/level_controller.h
@@ -1,10 +1,10 @@
 #ifndef BORAGELOFT_ADMISSION_LEVEL_CONTROLLER_H_
 #define BORAGELOFT_ADMISSION_LEVEL_CONTROLLER_H_
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <map>
-#include <set>
 
 #include "libraries/admission/admission_level.h"
 #include "libraries/base/base.h"
@@ -14,10 +14,10 @@
 /**
  * Turns queueing delay into an admission level. In each control interval it measures how much work
  * of each class came within the level, how much was finished and how long requests waited. While
- * the delay is above its target, the level is set so that the work admitted next equals the work
- * finished, less a part of the backlog; while it is below, the level is opened in proportion to the
- * distance. The work of a class that is shed is remembered, so that opening by a given amount of
- * work crosses class borders by the right step. Not thread-safe.
+ * the delay is above its target, the level is closed in proportion to the excess, and further if
+ * more comes in than is finished. While it is below, the level is opened by steps that grow with
+ * every interval without delay. All measures are smoothed, since a gate sees only about a dozen
+ * requests per interval. Not thread-safe.
  */
 class LevelController {
  public:
@@ -30,26 +30,40 @@
   /** Changes target and interval and keeps the level. */
   void Configure(base::Duration target_delay, base::Duration interval);
 
+  /** Changes the target, for an upstream whose service time is longer. */
+  void set_target_delay(base::Duration target_delay) { target_delay_ = target_delay; }
+
   /** Records a request that came, whether or not the level admits it. */
   void RecordArrival(ClassRank rank, ShedKey key);
 
   /** Records how long a request waited before it started. */
   void RecordWait(base::Duration wait);
 
-  /** Records a request that ran to its end. */
-  void RecordFinish() { ++finished_; }
+  /**
+   * Records a request that ran to its end.
+   * @param utilization Requests that ran at that moment, as a share of the concurrency limit.
+   */
+  void RecordFinish(double utilization) {
+    ++finished_;
+    utilization_sum_ += utilization;
+  }
 
   /**
    * Closes the control interval if it is over.
    * @param oldest_wait How long the oldest waiting request has waited; zero without one.
-   * @param waiting Requests that wait.
    * @param now Current time.
    */
-  void Update(base::Duration oldest_wait, std::size_t waiting, base::TimePoint now);
+  void Update(base::Duration oldest_wait, base::TimePoint now);
 
   /** @return The level in force. */
   AdmissionLevel level() const { return level_; }
 
+  /**
+   * @return The most open level of the last intervals. Requests admitted at the entry under that
+   *     level are still on their way, and refusing them here would waste the work done for them.
+   */
+  AdmissionLevel recent_level() const;
+
   /** @return Mean wait in the last control interval. */
   base::Duration queueing_delay() const { return delay_; }
 
@@ -57,16 +71,24 @@
   bool is_standing() const { return is_standing_; }
 
  private:
+  // Smoothed requests per interval of one class.
   struct Demand {
-    std::uint64_t offered = 0;
-    std::uint64_t admitted = 0;
-    double full = 0;  // Smoothed requests per interval if every key were admitted.
+    std::uint64_t offered = 0;   // In this interval.
+    std::uint64_t admitted = 0;  // In this interval.
+    double inflow = 0;           // Within the level.
+    double full = 0;             // If every key were admitted; falls slowly, as it may be hidden.
   };
 
-  void Learn();
-  double Position() const;
-  AdmissionLevel LevelAt(double position) const;
-  double Allowed(double delay_ratio, double admitted, std::size_t waiting) const;
+  static constexpr std::size_t kRecentIntervals = 6;
+
+  void Measure();
+  double TotalInflow() const;
+  AdmissionLevel Closed(double factor) const;
+  AdmissionLevel Opened(double factor) const;
+  double ClosingFactor(double delay_ratio) const;
+  double OpeningFactor(double delay_ratio);
+  AdmissionLevel Reachable() const;
+  void Adopt(AdmissionLevel level);
   void StartInterval(base::TimePoint now);
 
   base::Duration target_delay_;
@@ -77,12 +99,17 @@
   bool has_started_ = false;
   base::TimePoint interval_start_{};
   std::uint64_t finished_ = 0;
+  double utilization_sum_ = 0;
   std::uint64_t waits_ = 0;
   base::Duration wait_sum_{};
   base::Duration wait_min_ = base::Duration::max();
   base::Duration delay_{};
   bool is_standing_ = false;
-  double capacity_ = 0;  // Smoothed finished requests per interval while requests waited.
+  double capacity_ = 0;  // Smoothed finished requests per interval with delay above target.
+  std::uint32_t calm_intervals_ = 0;
+  std::array<AdmissionLevel, kRecentIntervals> recent_{};
+  std::array<AdmissionLevel, kRecentIntervals> ceilings_;  // Least important key that came.
+  std::size_t next_recent_ = 0;
 };
 
 }  // namespace borageloft::admission
--- a/libraries/admission/load_level_map.h
+++ b/libraries/admission/load_level_map.h
@@ -46,7 +46,8 @@
               base::TimePoint now);
 
   /**
-   * Decides whether a request may be sent along a path.
+   * Decides whether a root request may be sent along a path. It is meant for the entry only: for a
+   * call further down, work has been done already, and the gate that is called decides.
    * @param path Services that the request is known to call, in any order.
    * @param rank Class of the request.
    * @param key Shed key of its root.
--- a/libraries/retry/retry_policy.h
+++ b/libraries/retry/retry_policy.h
@@ -68,7 +68,7 @@
 class RetryPolicy {
  public:
   /** @param backoff Pauses between attempts. */
-  explicit RetryPolicy(BackoffPolicy backoff) : backoff_(std::move(backoff)) {}
+  explicit RetryPolicy(const BackoffPolicy& backoff) : backoff_(backoff) {}
 
   /**
    * Decides about a failed attempt. For kRetry one extra attempt has been taken from both the
