Admission: Open faster while the upstream is idle

Cause: after a trigger ended the level was opened by 3% steps as soon as some slots were in use, and never past the keys that callers had sent so far; a limit that a slow phase had lowered also had to regrow step by step. Change: an upstream counts as idle by utilization and delay together, careful steps grow with the free slots, the reach past the callers' keys is proportional, and a certain fall of latency restores the limit before the last cut.

--- a/libraries/admission/concurrency_limit.cc
+++ b/libraries/admission/concurrency_limit.cc
@@ -126,8 +126,11 @@
     limit_before_cut_ = 0;
   }
   const double inflation = latency / reference_;
-  if (inflation < 1) {
-    reference_ += (latency - reference_) * (inflation < kCertainFall ? 1 : kReferenceRate);
+  if (inflation < kCertainFall) {
+    reference_ = latency;
+    SetLimit(std::max(limit_, regrowth_bound_));
+  } else if (inflation < 1) {
+    reference_ += (latency - reference_) * kReferenceRate;
   }
   if (inflation > kTolerance) {
     if (inflation > kCertainInflation || std::exchange(is_suspect_, true)) {
--- a/libraries/admission/level_controller.cc
+++ b/libraries/admission/level_controller.cc
@@ -43,11 +43,14 @@
 constexpr std::uint32_t kCarefulIntervals = 5;
 constexpr std::uint32_t kLargestCalm = 10;
 constexpr double kCarefulStep = 0.03;
+constexpr double kCarefulStepWhenIdle = 0.1;
 constexpr double kOpeningStep = 0.1;
 
-// Below this share of the concurrency limit in use, an upstream is mostly idle. Near its capacity
-// it uses more, since the limit is little above what it can work on at once.
-constexpr double kIdle = 0.4;
+// Below this share of the concurrency limit in use, and with a delay below this share of the
+// target, an upstream counts as idle. Near its capacity it uses more, since the limit is little
+// above what it can work on at once.
+constexpr double kIdleUtilization = 0.6;
+constexpr double kIdleDelay = 0.1;
 
 // The share of a class grows in one interval at most to twice itself and this, since the demand
 // behind it is only an estimate.
@@ -158,13 +161,18 @@
 double LevelController::OpeningFactor(double delay_ratio) {
   const double utilization =
       finished_ > 0 ? std::min(utilization_sum_ / static_cast<double>(finished_), 1.0) : 0;
-  calm_intervals_ = utilization > kIdle ? 1 : std::min(calm_intervals_ + 1, kLargestCalm);
+  const bool is_idle = utilization < kIdleUtilization && delay_ratio < kIdleDelay;
+  calm_intervals_ = is_idle ? std::min(calm_intervals_ + 1, kLargestCalm) : 0;
   if (calm_intervals_ > kCarefulIntervals) {
     return 1 + kOpeningStep * (calm_intervals_ - kCarefulIntervals);
   }
   const double inflow = TotalInflow();
   const double safe = capacity_ * kSafeCapacityShare;
-  return inflow > 0 && inflow < safe ? safe / inflow : 1 + kCarefulStep * (1 - delay_ratio);
+  if (inflow > 0 && inflow < safe) {
+    return safe / inflow;
+  }
+  const double step = kCarefulStep + kCarefulStepWhenIdle * (1 - utilization);
+  return 1 + step * (1 - delay_ratio);
 }
 
 AdmissionLevel LevelController::Reachable() const {
@@ -172,7 +180,7 @@
   // comes, they hold back at a lower one, and opening further would not bring more work, but would
   // let all of it in at once when the median follows.
   const AdmissionLevel ceiling = *std::ranges::max_element(ceilings_);
-  const std::uint32_t share = ceiling.share() + kLargestShareStep;
+  const std::uint32_t share = ceiling.share() + ceiling.share() / 2 + kLargestShareStep;
   if (share <= ShedKey::kPositions) {
     return {ceiling.rank(), share};
   }
