Admission: Open to the throughput that an idle upstream shows

Cause: after a surge the level stayed near 0.45 for a quarter of a second, as too few requests came to show how far callers' keys reach. Change: while nothing waits, 0.4 of the throughput at the concurrency limit counts as safe, which is known as soon as latency has fallen.

--- a/libraries/admission/admission_gate.cc
+++ b/libraries/admission/admission_gate.cc
@@ -277,7 +277,8 @@
   controller_.set_target_delay(
       std::max(limits_.target_delay, 2 * concurrency_.reference_latency()));
   const auto oldest = queue_.oldest();
-  controller_.Update(oldest ? now - *oldest : base::Duration::zero(), now);
+  controller_.Update(oldest ? now - *oldest : base::Duration::zero(), concurrency_.Throughput(),
+                     now);
   queue_.set_newest_first(controller_.is_standing());
 }
 
--- a/libraries/admission/concurrency_limit.cc
+++ b/libraries/admission/concurrency_limit.cc
@@ -40,6 +40,10 @@
 // Growth of a limit that has not been reached before.
 constexpr double kGrowth = 0.1;
 
+// Weight of one request in the recent latency, which has to show within about ten that a slow
+// upstream has recovered.
+constexpr double kRecentRate = 0.1;
+
 // An upstream that refuses more than this share of a window for overload is cut without regard to
 // latency, since refusals are fast.
 constexpr double kOverloadedShare = 0.05;
@@ -73,6 +77,10 @@
 
 void ConcurrencyLimit::Record(base::Duration latency, Outcome outcome, std::size_t in_flight,
                               base::TimePoint now) {
+  if (outcome != Outcome::kOverloaded && outcome != Outcome::kCancelled) {
+    const auto sample = static_cast<double>(latency.count());
+    recent_ += (sample - recent_) * (recent_ == 0 ? 1 : kRecentRate);
+  }
   if (to_skip_ > 0) {
     --to_skip_;
     StartWindow(now);
@@ -100,6 +108,8 @@
   }
 }
 
+double ConcurrencyLimit::Throughput() const { return recent_ > 0 ? limit_ * 1e9 / recent_ : 0; }
+
 void ConcurrencyLimit::CloseWindow(base::TimePoint now) {
   const double total = static_cast<double>(count_ + overloaded_);
   if (static_cast<double>(overloaded_) > total * kOverloadedShare) {
--- a/libraries/admission/concurrency_limit.h
+++ b/libraries/admission/concurrency_limit.h
@@ -39,6 +39,9 @@
   /** @return Requests that may run at once, from 1 to slots. */
   std::size_t limit() const { return static_cast<std::size_t>(limit_); }
 
+  /** @return Requests per second that the upstream finishes when the limit is used in full. */
+  double Throughput() const;
+
   /** @return Latency of the unloaded upstream; zero before the first window. */
   base::Duration reference_latency() const {
     return base::Duration(static_cast<base::Duration::rep>(reference_));
@@ -55,6 +58,7 @@
   double slots_;
   double limit_;
   double reference_ = 0;  // Nanoseconds.
+  double recent_ = 0;     // Latency of the last few requests, in nanoseconds.
 
   // Limit, latency and requests in flight before the last cut while its effect is being observed;
   // the limit is zero otherwise.
--- a/libraries/admission/level_controller.cc
+++ b/libraries/admission/level_controller.cc
@@ -23,8 +23,8 @@
 // Weight of one interval in the capacity, which changes less often than demand.
 constexpr double kCapacitySmoothing = 0.15;
 
-// Share by which the remembered demand of a class falls in one interval, which halves it in 1.7 s.
-constexpr double kForgetting = 0.02;
+// Share by which the remembered demand of a class falls in one interval, which halves it in 7 s.
+constexpr double kForgetting = 0.005;
 
 // Work admitted while the delay is above target, as a share of the work finished: less by this for
 // each multiple of the target, down to a bound that empties a queue without idling the upstream.
@@ -37,13 +37,21 @@
 // Below this share of the capacity found last, the level opens to it at once.
 constexpr double kSafeCapacityShare = 0.9;
 
-// From there it opens by a small step in each calm interval. If the upstream stays mostly idle for
-// some intervals, the capacity has grown, and each further interval opens by a larger step: tenfold
-// takes 0.65 s, which fits into the second that recovery may take.
+// The same holds below this share of the throughput at the concurrency limit, while nothing waits.
+// The limit is 1.25 to 2 times what the upstream works on at once, so this is 0.5 to 0.8 of the
+// capacity. Unlike the capacity found last it is known as soon as latency has fallen.
+constexpr double kIdleShare = 0.4;
+
+// Above this share without delay, the capacity has grown.
+constexpr double kGrownCapacityShare = 1.2;
+
+// Between the two it opens by a small step in each calm interval. If the upstream stays mostly idle
+// for some intervals, the capacity has grown, and each further interval opens by a larger step:
+// tenfold takes 0.65 s, which fits into the second that recovery may take.
 constexpr std::uint32_t kCarefulIntervals = 5;
 constexpr std::uint32_t kLargestCalm = 10;
-constexpr double kCarefulStep = 0.03;
-constexpr double kCarefulStepWhenIdle = 0.1;
+constexpr double kCarefulStep = 0.02;
+constexpr double kStepAboveCapacity = 0.1;
 constexpr double kOpeningStep = 0.1;
 
 // Below this share of the concurrency limit in use, and with a delay below this share of the
@@ -93,7 +101,7 @@
   wait_min_ = std::min(wait_min_, wait);
 }
 
-void LevelController::Update(base::Duration oldest_wait, base::TimePoint now) {
+void LevelController::Update(base::Duration oldest_wait, double throughput, base::TimePoint now) {
   if (!has_started_) {
     has_started_ = true;
     StartInterval(now);
@@ -111,9 +119,13 @@
     calm_intervals_ = 0;
     Adopt(Closed(ClosingFactor(ratio)));
   } else {
-    const AdmissionLevel opened = Opened(OpeningFactor(ratio));
-    Adopt(calm_intervals_ > kCarefulIntervals ? opened
-                                              : std::max(level_, std::min(opened, Reachable())));
+    const double idle_capacity =
+        ratio < kIdleDelay
+            ? throughput * kIdleShare * std::chrono::duration<double>(interval_).count()
+            : 0;
+    const bool is_idle = TotalInflow() < idle_capacity || calm_intervals_ >= kCarefulIntervals;
+    const AdmissionLevel opened = Opened(OpeningFactor(ratio, idle_capacity));
+    Adopt(is_idle ? opened : std::max(level_, std::min(opened, Reachable())));
   }
   recent_[next_recent_] = level_;
   next_recent_ = (next_recent_ + 1) % kRecentIntervals;
@@ -158,7 +170,7 @@
   return inflow > 0 ? std::clamp(capacity_ * (1 - drain) / inflow, kSmallestFactor, 1.0) : 1.0;
 }
 
-double LevelController::OpeningFactor(double delay_ratio) {
+double LevelController::OpeningFactor(double delay_ratio, double idle_capacity) {
   const double utilization =
       finished_ > 0 ? std::min(utilization_sum_ / static_cast<double>(finished_), 1.0) : 0;
   const bool is_idle = utilization < kIdleUtilization && delay_ratio < kIdleDelay;
@@ -167,11 +179,12 @@
     return 1 + kOpeningStep * (calm_intervals_ - kCarefulIntervals);
   }
   const double inflow = TotalInflow();
-  const double safe = capacity_ * kSafeCapacityShare;
+  const double safe = std::max(capacity_ * kSafeCapacityShare, idle_capacity);
   if (inflow > 0 && inflow < safe) {
     return safe / inflow;
   }
-  const double step = kCarefulStep + kCarefulStepWhenIdle * (1 - utilization);
+  const bool has_grown = inflow > capacity_ * kGrownCapacityShare;
+  const double step = has_grown ? kStepAboveCapacity * (1 - utilization) : kCarefulStep;
   return 1 + step * (1 - delay_ratio);
 }
 
--- a/libraries/admission/level_controller.h
+++ b/libraries/admission/level_controller.h
@@ -51,9 +51,10 @@
   /**
    * Closes the control interval if it is over.
    * @param oldest_wait How long the oldest waiting request has waited; zero without one.
+   * @param throughput Requests per second that the upstream finishes at its concurrency limit.
    * @param now Current time.
    */
-  void Update(base::Duration oldest_wait, base::TimePoint now);
+  void Update(base::Duration oldest_wait, double throughput, base::TimePoint now);
 
   /** @return The level in force. */
   AdmissionLevel level() const { return level_; }
@@ -86,7 +87,7 @@
   AdmissionLevel Closed(double factor) const;
   AdmissionLevel Opened(double factor) const;
   double ClosingFactor(double delay_ratio) const;
-  double OpeningFactor(double delay_ratio);
+  double OpeningFactor(double delay_ratio, double idle_capacity);
   AdmissionLevel Reachable() const;
   void Adopt(AdmissionLevel level);
   void StartInterval(base::TimePoint now);
