--- a/libraries/admission/concurrency_limit.h
+++ b/libraries/admission/concurrency_limit.h
@@ -39,6 +39,9 @@
   /** @return Requests that may run at once, from 1 to slots. */
   std::size_t limit() const { return static_cast<std::size_t>(limit_); }
 
+  /** @return Requests per second that the upstream finishes when the limit is used in full. */
+  double Throughput() const;
+
   /** @return Latency of the unloaded upstream; zero before the first window. */
   base::Duration reference_latency() const {
     return base::Duration(static_cast<base::Duration::rep>(reference_));
@@ -47,22 +50,33 @@
  private:
   void CloseWindow(base::TimePoint now);
   void Adjust(double latency);
+  bool IsCutUseless(double latency) const;
+  void Cut(double latency, double inflation);
   void StartWindow(base::TimePoint now);
   void SetLimit(double limit);
 
   double slots_;
   double limit_;
   double reference_ = 0;  // Nanoseconds.
+  double recent_ = 0;     // Latency of the last few requests, in nanoseconds.
 
-  // Limit and latency before the last cut while its effect is being observed; zero otherwise.
+  // Limit, latency and requests in flight before the last cut while its effect is being observed;
+  // the limit is zero otherwise.
   double limit_before_cut_ = 0;
   double latency_before_cut_ = 0;
+  double in_flight_before_cut_ = 0;
+
+  double regrowth_bound_ = 0;  // Limit before the last cut.
+  bool is_suspect_ = false;    // The last window was inflated.
+
+  std::size_t to_skip_ = 0;  // Requests still to end that started before the last cut.
 
   base::TimePoint window_start_{};
   std::size_t count_ = 0;
   std::size_t overloaded_ = 0;
   std::size_t max_in_flight_ = 0;
   double latency_sum_ = 0;
+  double in_flight_sum_ = 0;
 };
 
 }  // namespace borageloft::admission
