Workbench: Report how late requests start

A generator with too few senders, or on a machine that is too busy, adds its own delay to every latency, and a report did not show it. Each phase now has the delay from the intended start to a free sender.

ToJsonLine() prints the report as one line with six digits.

--- a/libraries/workbench/load_generator.cc
+++ b/libraries/workbench/load_generator.cc
@@ -127,6 +127,7 @@
   const RequestKind& kind = options_.kinds[arrival.kind];
   const std::string request_id = fmt::format("{}-{}", run_id_, arrival.number);
   RequestResult result{.intended = arrival.intended};
+  result.start_delay = Elapsed() - arrival.intended;
   result.outcome = RequestOutcome::kNotRun;
   while (result.attempts <= options_.retries) {
     const base::Duration remaining = arrival.intended + kind.timeout - Elapsed();
--- a/libraries/workbench/load_options.h
+++ b/libraries/workbench/load_options.h
@@ -52,7 +52,7 @@
   ArrivalProcess arrivals = ArrivalProcess::kPoisson;
   base::Duration duration = std::chrono::seconds(10);
   std::uint64_t most_requests = 10'000'000;  ///< Ends the run early.
-  std::size_t senders = 64;                  ///< Threads; each has one connection for each target.
+  std::size_t senders = 64;  ///< Threads; at most this many connections to each target.
   std::uint64_t seed = 1;
   unsigned retries = 0;  ///< Immediate further attempts after an answer that is not whole.
   std::optional<TriggerWindow> trigger;
--- a/libraries/workbench/load_report.cc
+++ b/libraries/workbench/load_report.cc
@@ -52,6 +52,7 @@
   if (is_good) {
     latency.Add(result.latency);
   }
+  start_delay.Add(result.start_delay);
 }
 
 void PhaseCounts::Merge(const PhaseCounts& other) {
@@ -70,6 +71,7 @@
     statuses[status] += count;
   }
   latency.Merge(other.latency);
+  start_delay.Merge(other.start_delay);
 }
 
 LoadReport::LoadReport(const LoadOptions& options)
@@ -157,6 +159,13 @@
   return json;
 }
 
+std::string LoadReport::ToJsonLine() const {
+  Json::StreamWriterBuilder builder;
+  builder["indentation"] = "";
+  builder["precision"] = 6;
+  return Json::writeString(builder, ToJson());
+}
+
 std::string LoadReport::ToTable() const {
   std::string table =
       fmt::format("{:<20} {:<7} {:>9} {:>10} {:>8} {:>8} {:>8} {:>8} {:>9} {:>9} {:>9} {:>9}\n",
@@ -214,6 +223,7 @@
   json["p90_ms"] = ToMilliseconds(counts.latency.Percentile(0.9));
   json["p99_ms"] = ToMilliseconds(counts.latency.Percentile(0.99));
   json["max_ms"] = ToMilliseconds(counts.latency.maximum());
+  json["start_delay_p99_ms"] = ToMilliseconds(counts.start_delay.Percentile(0.99));
   json["statuses"] = Json::Value(Json::objectValue);
   for (const auto& [status, count] : counts.statuses) {
     json["statuses"][std::to_string(status)] = static_cast<Json::UInt64>(count);
--- a/libraries/workbench/load_report.h
+++ b/libraries/workbench/load_report.h
@@ -29,14 +29,15 @@
 
 /** Result of one request after all its attempts. */
 struct RequestResult {
-  base::Duration intended{0};  ///< From the start of the run.
-  base::Duration latency{0};   ///< From the intended start to the end of the last attempt.
-  bool is_whole = false;       ///< The last answer was 2xx, complete and the request's own.
-  bool is_late = false;        ///< The latency exceeds the caller's timeout.
-  bool is_damaged = false;     ///< The last answer was 2xx but truncated or altered.
-  bool is_foreign = false;     ///< The last answer was 2xx but belongs to another request.
-  bool is_unsent = false;      ///< All senders were busy until the caller's timeout.
-  int status = 0;              ///< Of the last answer; 0 without one.
+  base::Duration intended{0};     ///< From the start of the run.
+  base::Duration latency{0};      ///< From the intended start to the end of the last attempt.
+  base::Duration start_delay{0};  ///< From the intended start until a sender was free.
+  bool is_whole = false;          ///< The last answer was 2xx, complete and the request's own.
+  bool is_late = false;           ///< The latency exceeds the caller's timeout.
+  bool is_damaged = false;        ///< The last answer was 2xx but truncated or altered.
+  bool is_foreign = false;        ///< The last answer was 2xx but belongs to another request.
+  bool is_unsent = false;         ///< All senders were busy until the caller's timeout.
+  int status = 0;                 ///< Of the last answer; 0 without one.
   RequestOutcome outcome = RequestOutcome::kUnknown;
   unsigned attempts = 0;
 };
@@ -56,6 +57,9 @@
   std::uint64_t unknown = 0;
   std::map<int, std::uint64_t> statuses;
   LatencyHistogram latency;  ///< Of good requests.
+  /** Of all requests. Far above the timer's precision it shows that the generator itself is too
+   * slow or has too few senders. */
+  LatencyHistogram start_delay;
 
   /** Counts one request. */
   void Add(const RequestResult& result);
@@ -91,6 +95,9 @@
   /** @return The report as a JSON object; times in milliseconds, rates per second. */
   Json::Value ToJson() const;
 
+  /** @return ToJson() as one line, numbers with six digits. */
+  std::string ToJsonLine() const;
+
   /** @return The report as a table for a terminal, lines ended by a line feed. */
   std::string ToTable() const;
 
--- a/tests/workbench/measures_test.cc
+++ b/tests/workbench/measures_test.cc
@@ -206,6 +206,7 @@
   EXPECT_EQ(json["kinds"][0]["before"]["goodput_per_second"], 1.0);
   EXPECT_TRUE(json["recovery_ms"].isNull());
   EXPECT_NE(total.ToTable().find("claim"), std::string::npos);
+  EXPECT_EQ(total.ToJsonLine().find('\n'), std::string::npos);
 }
 
 }  // namespace
