--- a/libraries/membership/lease_client.cc
+++ b/libraries/membership/lease_client.cc
@@ -29,7 +29,7 @@
   record_.zone = settings_.zone;
   record_.address = settings_.address;
   next_renewal_ = now + settings_.renew_subscriptions;
-  next_return_ = now + settings_.return_after;
+  next_return_ = now + DrawReturnDelay();
   next_prune_ = now + settings_.remember_removed;
   TakeIncarnation(0, now);
 }
@@ -236,7 +236,7 @@
     MoveTo(next, now);
   }
   if (now >= next_return_) {
-    next_return_ = now + settings_.return_after;
+    next_return_ = now + DrawReturnDelay();
     if (source_ != 0 && HasAnswered(0, now)) {
       MoveTo(0, now);
     }
@@ -257,6 +257,12 @@
   RequestViews(directory_.services(), now);
 }
 
+base::Duration LeaseClient::DrawReturnDelay() const {
+  // Drawn, so that the nodes that a restarted registry had do not all come back at once.
+  return std::chrono::duration_cast<base::Duration>(settings_.return_after *
+                                                    (0.5 + base::DrawFraction(hooks_.random)));
+}
+
 bool LeaseClient::HasAnswered(std::size_t rank, base::TimePoint now) const {
   // Leases are answered every fourth time, so one lost answer is allowed for.
   const auto found = answered_.find(ranked_[rank]);
--- a/libraries/membership/lease_client.h
+++ b/libraries/membership/lease_client.h
@@ -108,6 +108,7 @@
   void EndUnused(base::TimePoint now);
   void CheckSource(base::TimePoint now);
   void MoveTo(std::size_t source, base::TimePoint now);
+  base::Duration DrawReturnDelay() const;
   bool HasAnswered(std::size_t rank, base::TimePoint now) const;
 
   LeaseClientSettings settings_;
--- a/libraries/membership/lease_table.cc
+++ b/libraries/membership/lease_table.cc
@@ -16,14 +16,18 @@
   LeaseEntry& entry = position->second;
   if (!is_new) {
     const Verdict verdict = Check(entry, lease.record);
+    if (verdict == Verdict::kStale) {
+      return TakeStale(entry, lease.sequence);
+    }
     if (verdict != Verdict::kRenewed) {
       return verdict;
     }
     const bool is_same_life = entry.record.stamp.incarnation == lease.record.stamp.incarnation;
     if (is_same_life && lease.sequence <= entry.sequence) {
-      return Verdict::kStale;
+      return TakeStale(entry, lease.sequence);
     }
   }
+  entry.stale_count = 0;
   entry.sequence = lease.sequence;
   entry.last_heard = now;
   entry.last_direct = now;
@@ -117,6 +121,15 @@
   return Verdict::kRenewed;
 }
 
+LeaseTable::Verdict LeaseTable::TakeStale(LeaseEntry& entry, std::uint64_t sequence) {
+  // Delayed leases come between newer ones. A row of rising numbers below the known one comes from
+  // a restarted node whose clock was set back and that drew the incarnation of its earlier life.
+  constexpr int kRowOfAnotherLife = 3;
+  entry.stale_count = sequence > entry.stale_sequence ? entry.stale_count + 1 : 0;
+  entry.stale_sequence = sequence;
+  return entry.stale_count >= kRowOfAnotherLife ? Verdict::kFenced : Verdict::kStale;
+}
+
 LeaseTable::Verdict LeaseTable::Adopt(LeaseEntry& entry, const NodeRecord& record) {
   // An older incarnation never replaces a newer one.
   VERIFY(record.stamp >= entry.record.stamp);
--- a/libraries/membership/lease_table.h
+++ b/libraries/membership/lease_table.h
@@ -16,6 +16,8 @@
   NodeRecord record;
   EntryState state = EntryState::kAlive;
   std::uint64_t sequence = 0;
+  std::uint64_t stale_sequence = 0;  ///< Of the last lease that came too late.
+  int stale_count = 0;  ///< Leases in rising order since the last accepted one that came too late.
   base::TimePoint last_heard;   ///< By this registry or, confirmed, by another one.
   base::TimePoint last_direct;  ///< By this registry.
   base::TimePoint suspect_since;
@@ -73,6 +75,7 @@
 
  private:
   Verdict Check(const LeaseEntry& entry, const NodeRecord& record) const;
+  static Verdict TakeStale(LeaseEntry& entry, std::uint64_t sequence);
   static Verdict Adopt(LeaseEntry& entry, const NodeRecord& record);
 
   std::map<std::string, LeaseEntry> entries_;
--- a/tests/membership/world.h
+++ b/tests/membership/world.h
@@ -137,11 +137,11 @@
     node.announced = now;
   }
 
-  /** Advances the clock in ticks of 50 ms and delivers what arrives meanwhile. */
+  /** Advances the clock tick by tick and delivers what arrives meanwhile. */
   void Run(base::Duration duration) {
     const base::TimePoint end = now + duration;
     while (now < end) {
-      const base::TimePoint next = now + milliseconds(50);
+      const base::TimePoint next = now + tick;
       while (!queue_.empty() && queue_.top().due <= next) {
         const Packet packet = queue_.top();
         queue_.pop();
@@ -171,11 +171,15 @@
           continue;
         }
         const auto entry = host.registry->entries().find(node_name);
+        const bool is_known = entry != host.registry->entries().end();
+        Require(is_known, name + " does not know " + node_name);
         Require(entry != host.registry->entries().end() &&
                     entry->second.state != EntryState::kRemoved &&
                     entry->second.state != EntryState::kUnreachable &&
                     entry->second.record == node.client->record(),
-                name + " does not hold " + node_name);
+                name + " holds " + Describe(entry->second.record) + " in state " +
+                    std::to_string(static_cast<int>(entry->second.state)) + " instead of " +
+                    Describe(node.client->record()));
       }
     }
     for (const auto& [name, node] : nodes) {
@@ -203,6 +207,7 @@
   std::set<std::pair<std::string, std::string>> cut;  // Directed links that lose everything.
   std::set<std::pair<int, int>> cut_regions;
   bool has_calls = true;  // Whether nodes go on calling their services.
+  milliseconds tick{50};
   double loss = 0;
   double duplication = 0;
   milliseconds extra_delay{0};  // Upper bound of random extra delay; it reorders messages.
@@ -348,6 +353,11 @@
     return view;
   }
 
+  static std::string Describe(const NodeRecord& record) {
+    return record.node + "@" + std::to_string(record.stamp.incarnation) + "." +
+           std::to_string(record.stamp.revision);
+  }
+
   static std::string Describe(const View& view) {
     std::string text;
     for (const auto& [node, item] : view) {
