Replication: Keep a replica in the storage library

Cause: ReplicaHost knew its storage only as hooks, and the storage library offers a store for one group.

--- a/libraries/replication/persist_loop.cc
+++ b/libraries/replication/persist_loop.cc
@@ -88,9 +88,8 @@
     storage.save_hard_state(*ready.hard_state);
   }
   if (ready.snapshot) {
-    // A crash between the two steps is repaired by LoadConsistent().
-    storage.save_snapshot(*ready.snapshot);
-    storage.truncate(0);
+    // A crash in the middle is repaired by LoadConsistent().
+    storage.install_snapshot(*ready.snapshot);
     stored_last_ = ready.snapshot->index;
   }
   if (ready.entries.empty()) {
@@ -201,7 +200,6 @@
   }
   try {
     dependencies_.storage.save_snapshot(*snapshot);
-    dependencies_.storage.compact(snapshot->index);
   } catch (const std::exception& error) {
     Fail(error.what(), stored_last_);
     return;
--- a/libraries/replication/replica_host.cc
+++ b/libraries/replication/replica_host.cc
@@ -55,9 +55,9 @@
       state = plan.mode == StartMode::kBootstrap
                   ? PersistedState::ForBootstrap(plan.replica, plan.membership)
                   : PersistedState::ForJoin(plan.replica);
-      // The hard state marks the folder as in use, so it comes last.
-      storage.save_snapshot(*state->snapshot);
+      // The snapshot marks the folder as in use, so it comes last.
       storage.save_hard_state(state->hard_state);
+      storage.save_snapshot(*state->snapshot);
     }
     dependencies_.state_machine.restore(state->snapshot->data);
     applied_ = state->snapshot->index;
--- a/libraries/replication/replica_storage.cc
+++ b/libraries/replication/replica_storage.cc
@@ -6,7 +6,7 @@
 
 std::optional<consensus::PersistedState> LoadConsistent(const ReplicaStorage& storage) {
   std::optional<consensus::PersistedState> state = storage.load();
-  if (!state || !state->snapshot || state->hard_state.replica == consensus::kNoReplica) {
+  if (!state || !state->snapshot) {
     return std::nullopt;
   }
   const consensus::Snapshot& snapshot = *state->snapshot;
@@ -14,8 +14,9 @@
       std::any_of(state->entries.begin(), state->entries.end(), [&](const consensus::Entry& entry) {
         return entry.index == snapshot.index && entry.term != snapshot.term;
       });
-  if (is_replaced) {
-    storage.truncate(state->entries.front().index);
+  const bool ends_before = !state->entries.empty() && state->entries.back().index < snapshot.index;
+  if (is_replaced || ends_before) {
+    storage.install_snapshot(snapshot);
     state->entries.clear();
   }
   return state;
--- a/libraries/replication/replica_storage.h
+++ b/libraries/replication/replica_storage.h
@@ -15,7 +15,7 @@
  */
 struct ReplicaStorage {
   /**
-   * @return Everything stored, or nothing if no hard state was ever saved. It returns only what is
+   * @return Everything stored, or nothing if no snapshot was ever saved. It returns only what is
    * durable, also after a failed append. Entries up to the snapshot's index may still be among it.
    */
   std::function<std::optional<consensus::PersistedState>()> load;
@@ -25,10 +25,16 @@
   std::function<void(const std::vector<consensus::Entry>&)> append;
   /** Removes all entries from index @p first on. */
   std::function<void(consensus::Index first)> truncate;
-  /** Replaces the snapshot and leaves the entries alone. */
+  /**
+   * Replaces the snapshot by one of this host's own state, whose index is not above the last entry.
+   * Entries up to its index may be removed then or later.
+   */
   std::function<void(const consensus::Snapshot&)> save_snapshot;
-  /** Allows the removal of entries up to @p last, which may happen later or only in part. */
-  std::function<void(consensus::Index last)> compact;
+  /**
+   * Replaces the snapshot and then removes all entries; the next entry follows the snapshot. A
+   * crash in between may leave the entries.
+   */
+  std::function<void(const consensus::Snapshot&)> install_snapshot;
 };
 
 /**
--- a/libraries/replication/replication.h
+++ b/libraries/replication/replication.h
@@ -4,6 +4,7 @@
 /** @file Public header of the replication library: the host of a consensus replica. */
 
 #include "libraries/replication/error.h"
+#include "libraries/replication/group_storage.h"
 #include "libraries/replication/host_hooks.h"
 #include "libraries/replication/host_status.h"
 #include "libraries/replication/outcomes.h"
--- a/tests/replication/memory_storage.h
+++ b/tests/replication/memory_storage.h
@@ -28,10 +28,14 @@
             [this](const consensus::Snapshot& snapshot) {
               Step("snapshot");
               state_.snapshot = std::make_shared<const consensus::Snapshot>(snapshot);
+              std::erase_if(state_.entries,
+                            [&](const auto& entry) { return entry.index <= snapshot.index; });
             },
-            [this](consensus::Index last) {
-              Step("compact");
-              std::erase_if(state_.entries, [&](const auto& entry) { return entry.index <= last; });
+            [this](const consensus::Snapshot& snapshot) {
+              Step("install_first");
+              state_.snapshot = std::make_shared<const consensus::Snapshot>(snapshot);
+              Step("install_second");
+              state_.entries.clear();
             }};
   }
 
@@ -48,8 +52,7 @@
  private:
   std::optional<consensus::PersistedState> Load() {
     Step("load");
-    return state_.hard_state.replica == consensus::kNoReplica ? std::nullopt
-                                                              : std::make_optional(state_);
+    return state_.snapshot ? std::make_optional(state_) : std::nullopt;
   }
 
   void Append(const std::vector<consensus::Entry>& entries) {
--- a/tests/replication/replica_host_test.cc
+++ b/tests/replication/replica_host_test.cc
@@ -222,7 +222,7 @@
 // Guards against a host that stays down or loses commands when any operation fails once.
 TEST_F(ReplicaHostTest, RecoversFromFailureOfEveryOperation) {
   std::map<std::string, std::uint64_t> failures;
-  for (const std::string operation : {"hard_state", "append", "truncate", "snapshot", "compact"}) {
+  for (const std::string operation : {"hard_state", "append", "truncate", "snapshot"}) {
     for (auto& [id, node] : nodes_) {
       node.storage.failing = operation;
       Commit(120);
@@ -232,7 +232,7 @@
       failures[operation] += node.host->status().storage_failures;
     }
   }
-  for (const std::string operation : {"append", "snapshot", "compact"}) {
+  for (const std::string operation : {"append", "snapshot"}) {
     EXPECT_GT(failures[operation], 0U) << operation << " was never called";
   }
   Commit(1);
@@ -242,6 +242,23 @@
   }
 }
 
+// Guards against a host that cannot go on after it failed in the middle of installing a snapshot.
+TEST_F(ReplicaHostTest, RecoversFromFailedSnapshotInstallation) {
+  for (const std::string operation : {"install_first", "install_second"}) {
+    const ReplicaId follower = Follower();
+    cut_off_.insert(follower);
+    Commit(300);
+    nodes_.at(follower).storage.failing = operation;
+    cut_off_.clear();
+    Pass(milliseconds(500));
+    EXPECT_EQ(HostOf(follower).status().state, HostState::kFailed) << operation;
+    nodes_.at(follower).storage.failing.clear();
+    Pass(milliseconds(3000));
+    Commit(1);
+    EXPECT_EQ(nodes_.at(follower).commands, nodes_.at(Leader()).commands) << operation;
+  }
+}
+
 // Guards against a proposal of a deposed leader that is called refused while it may be committed.
 TEST_F(ReplicaHostTest, ProposalsOfDeposedLeaderAreDroppedOrUnknown) {
   Commit(1);
