Node: Accept release notes through the replicated log

Cause: one control host held the notes alone. Conclusion: notes survive control hosts; nodes still pull them.

--- a/libraries/control_rpc/rpc_server.cc
+++ b/libraries/control_rpc/rpc_server.cc
@@ -1,6 +1,5 @@
 #include "libraries/control_rpc/rpc_server.h"
 
-#include <jsonrpccpp/common/errors.h>
 #include <jsonrpccpp/common/exception.h>
 #include <jsonrpccpp/common/procedure.h>
 #include <jsonrpccpp/server/iclientconnectionhandler.h>
@@ -18,6 +17,7 @@
 namespace {
 
 constexpr std::size_t kConnections = 32;
+constexpr int kRefusedCode = -32000;  // First code that JSON-RPC leaves to servers.
 constexpr const char* kBearer = "Bearer ";
 
 }  // namespace
@@ -66,7 +66,7 @@
     try {
       output = methods.at(procedure.GetProcedureName())(input);
     } catch (const std::exception& error) {
-      throw jsonrpc::JsonRpcException(jsonrpc::Errors::ERROR_RPC_INTERNAL_ERROR, error.what());
+      throw jsonrpc::JsonRpcException(kRefusedCode, error.what());
     }
   }
 
--- a/libraries/node/node.cc
+++ b/libraries/node/node.cc
@@ -3,6 +3,9 @@
 #include <fmt/format.h>
 
 #include <asio.hpp>
+#include <fstream>
+#include <iterator>
+#include <optional>
 #include <random>
 #include <thread>
 #include <utility>
@@ -12,9 +15,12 @@
 #include "libraries/node/attempt_loop.h"
 #include "libraries/node/call_sender.h"
 #include "libraries/node/control_channel.h"
+#include "libraries/node/group_client.h"
+#include "libraries/node/group_hub.h"
 #include "libraries/node/inbound_calls.h"
 #include "libraries/node/membership_table.h"
 #include "libraries/node/node_http.h"
+#include "libraries/node/note_control.h"
 #include "libraries/node/note_table.h"
 #include "libraries/node/operator_api.h"
 #include "libraries/node/request_entry.h"
@@ -31,10 +37,12 @@
 // The gate drops late work and ends leases at this grain; deadlines are whole milliseconds.
 constexpr base::Duration kGateTick = milliseconds(2);
 constexpr base::Duration kMembershipTick = milliseconds(50);
+constexpr base::Duration kControlTick = milliseconds(10);
 constexpr base::Duration kRoutingTick = milliseconds(1000);
 constexpr base::Duration kDrainCheck = milliseconds(10);
 // Time for the other nodes to hear that this one leaves before its last connection is closed.
 constexpr base::Duration kFarewell = milliseconds(200);
+constexpr const char* kNotesFile = "notes-in-force";
 constexpr std::size_t kSpanQueue = 65'536;
 
 base::Random ThreadRandom() {
@@ -62,6 +70,31 @@
   return options;
 }
 
+std::vector<std::string> ControlHostsOf(const settings::NodeSettings& settings) {
+  std::vector<std::string> hosts;
+  for (const settings::ControlPeer& peer : settings.control_peers) {
+    hosts.push_back(peer.node);
+  }
+  return hosts;
+}
+
+// On a host with a disk the notes in force survive a restart without a quorum.
+note_log::NoteStorage MakeNoteStorage(const storage::DataFolder* folder) {
+  if (folder == nullptr) {
+    return {[] { return std::nullopt; }, [](const std::string&) {}};
+  }
+  return {[folder]() -> std::optional<std::string> {
+            std::ifstream stream(folder->path() + "/" + kNotesFile, std::ios::binary);
+            if (!stream) {
+              return std::nullopt;
+            }
+            return std::string(std::istreambuf_iterator<char>(stream), {});
+          },
+          [folder](const std::string& bytes) {
+            storage::WriteFileAtomically(folder->file_system(), folder->path(), kNotesFile, bytes);
+          }};
+}
+
 http::HttpServerOptions MakeHttpOptions(const settings::NodeSettings& settings) {
   http::HttpServerOptions options;
   options.connections = static_cast<std::size_t>(settings.limits.caller_connections);
@@ -82,6 +115,7 @@
   void StartThreads();
   void StartServers();
   void PullNotes();
+  void StartControl();
   metrics::NodeGauges Gauges() const;
   bool Drain();
   void Stop();
@@ -105,7 +139,12 @@
   transport::PeerTransport transport;
   NodeEndpoints endpoints;
   std::unique_ptr<MembershipTable> members;
+  const storage::FileSystem file_system = storage::PosixFileSystem();
+  std::unique_ptr<storage::DataFolder> folder;  // Null on a host without a data folder.
   std::unique_ptr<NoteTable> note_table;
+  GroupHub group_hub;
+  GroupClient note_client;
+  std::unique_ptr<NoteControl> note_control;  // Null on a node that is no control host.
   CallSender sender;
   AttemptLoop attempts;
   RequestEntry entry;
@@ -136,6 +175,8 @@
       gate(services, running, MakeGateHooks()),
       inbound(services, gate),
       transport(context, MakeTransportOptions(settings, incarnation.Next()), MakeTransportHooks()),
+      group_hub(channel),
+      note_client(services, group_hub, kNoteGroup, ControlHostsOf(settings)),
       sender(services, gate, transport),
       attempts(services, routes, sender,
                [this](const std::string& service, base::TimePoint until) {
@@ -154,15 +195,19 @@
       local_server(MakeHttpOptions(settings), [this](const http::HttpRequest& request) {
         return local_http.Handle(request);
       }) {
+  if (settings.is_control_host()) {
+    folder = std::make_unique<storage::DataFolder>(file_system, settings.data_folder);
+  }
   channel.Attach(transport);
   endpoints.peers = transport.Listen(settings.peers);
   members =
       std::make_unique<MembershipTable>(services, incarnation, endpoints.peers, channel, routes);
   policies.AddListener([this](const notes::Policy& policy) { gate.ApplyPolicy(policy); });
-  note_table = std::make_unique<NoteTable>(
-      note_log::NoteStorage{[] { return std::nullopt; }, [](const std::string&) {}}, policies);
+  note_table = std::make_unique<NoteTable>(MakeNoteStorage(folder.get()), policies);
   PullNotes();
-  operator_api = std::make_unique<OperatorApi>(services, *note_table, *members, gate);
+  StartControl();
+  operator_api = std::make_unique<OperatorApi>(services, *note_table, note_client,
+                                               note_control.get(), *members, gate);
   SubscribeTimers();
   StartThreads();
   StartServers();
@@ -206,6 +251,16 @@
   return hooks;
 }
 
+void Node::State::StartControl() {
+  if (folder == nullptr) {
+    return;
+  }
+  note_control = std::make_unique<NoteControl>(
+      services, *folder, group_hub, ControlHostsOf(settings), *note_table,
+      NoteControl::Listener{[](const note_log::Note&) {}, [] {}});
+  note_control->Start();
+}
+
 // Nodes ask a control host for newer notes.
 void Node::State::PullNotes() {
   channel.Handle(wire::Channel::kNotes, [this](const std::string& from,
@@ -222,6 +277,12 @@
 void Node::State::SubscribeTimers() {
   timers.SubscribeEvery(kGateTick, [this](base::TimePoint) { gate.Tick(); });
   timers.SubscribeEvery(kMembershipTick, [this](base::TimePoint) { members->Tick(); });
+  timers.SubscribeEvery(kControlTick, [this](base::TimePoint) {
+    note_client.Tick();
+    if (note_control != nullptr) {
+      note_control->Tick();
+    }
+  });
   timers.SubscribeEvery(kRoutingTick, [this](base::TimePoint) { routes.Expire(); });
   timers.SubscribeEvery(settings.transport.ping_interval,
                         [this](base::TimePoint) { transport.CheckHeartbeats(); });
@@ -285,7 +346,6 @@
   }
   caller_server.Stop();
   local_server.Stop();
-  driver.Stop();
   transport.Stop();
   work.reset();
   // Connections end on the event loop; what hangs on there is dropped with it.
--- a/libraries/node/operator_api.cc
+++ b/libraries/node/operator_api.cc
@@ -8,6 +8,9 @@
 
 namespace {
 
+constexpr base::Duration kSubmitTimeout = std::chrono::seconds(5);
+constexpr std::size_t kHistoryLength = 1000;
+
 std::string RequireText(const Json::Value& parameters, const char* name) {
   if (!parameters[name].isString()) {
     throw base::Error(fmt::format("parameter {} must be a string", name));
@@ -47,10 +50,55 @@
   return "";
 }
 
+const char* NameOf(const replication::HostStatus& host) {
+  switch (host.state) {
+    case replication::HostState::kCreated:
+      return "starting";
+    case replication::HostState::kFailed:
+      return "storage failed";
+    case replication::HostState::kStopped:
+      return "stopped";
+    case replication::HostState::kRunning:
+      break;
+  }
+  switch (host.soft_state.role) {
+    case consensus::Role::kLeader:
+      return "leader";
+    case consensus::Role::kFollower:
+      return "follower";
+    case consensus::Role::kPreCandidate:
+    case consensus::Role::kCandidate:
+      return "candidate";
+  }
+  return "";
+}
+
 Json::Int64 ToMilliseconds(base::Duration time) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
 }
 
+// Throws the reason unless the note is in the log.
+void CheckAccepted(const note_log::NoteOutcome& outcome, const std::string& file) {
+  using Kind = note_log::NoteOutcomeKind;
+  switch (outcome.kind) {
+    case Kind::kAccepted:
+    case Kind::kAlreadyAccepted:
+      return;
+    case Kind::kConflict:
+      throw base::Error(fmt::format("{}: number {} is taken by the note of {} with digest {}", file,
+                                    outcome.number, outcome.winner_author, outcome.winner_digest));
+    case Kind::kGap:
+      throw base::Error(fmt::format("{}: number {} is too high; the next number is {}", file,
+                                    outcome.number, outcome.expected));
+    case Kind::kForgotten:
+      throw base::Error(fmt::format("{}: number {} is too old to compare; the next number is {}",
+                                    file, outcome.number, outcome.expected));
+    case Kind::kInvalid:
+    case Kind::kMalformed:
+      throw base::Error(fmt::format("{}", fmt::join(outcome.errors, "\n")));
+  }
+}
+
 Json::Value DescribeUpstream(const ListedUpstream& listed) {
   const membership::NodeRecord& record = listed.entry.record;
   Json::Value row;
@@ -67,9 +115,15 @@
 
 }  // namespace
 
-OperatorApi::OperatorApi(const NodeServices& services, NoteTable& notes, MembershipTable& members,
+OperatorApi::OperatorApi(const NodeServices& services, NoteTable& notes, GroupClient& note_client,
+                         const NoteControl* note_control, MembershipTable& members,
                          UpstreamGate& gate)
-    : services_(services), notes_(notes), members_(members), gate_(gate) {}
+    : services_(services),
+      notes_(notes),
+      note_client_(note_client),
+      note_control_(note_control),
+      members_(members),
+      gate_(gate) {}
 
 std::map<std::string, control_rpc::RpcMethod> OperatorApi::Methods() {
   return {
@@ -91,14 +145,24 @@
 
 Json::Value OperatorApi::SubmitNote(const Json::Value& parameters) {
   const std::string text = RequireText(parameters, "text");
-  const auto note = notes::ReleaseNote::Parse(text, RequireText(parameters, "file"));
-  notes::ApplyNote(*services_.policies.current(), text, note.file());
-  note_log::NoteDelta delta;
-  delta.latest = note.number();
-  delta.notes.push_back({note.number(), note.author(), note.digest(), text});
-  notes_.Offer(delta);
+  const std::string file = RequireText(parameters, "file");
+  const auto note = notes::ReleaseNote::Parse(text, file);
+  const CommandOutcome outcome = note_client_.SendAndWait(
+      note_log::EncodeNote({note.number(), note.author(), note.digest(), text}),
+      services_.clock() + kSubmitTimeout);
+  if (outcome.result == ForwardResult::kNoEffect) {
+    throw base::Error("no quorum of control hosts; the note was not accepted");
+  }
+  if (outcome.result == ForwardResult::kUnknown) {
+    throw base::Error("the outcome is unknown; submit the same note again");
+  }
+  const note_log::NoteOutcome verdict = note_log::DecodeOutcome(outcome.value);
+  CheckAccepted(verdict, file);
   Json::Value result;
-  result["result"] = "accepted";
+  result["number"] = static_cast<Json::UInt64>(note.number());
+  result["digest"] = note.digest();
+  result["result"] =
+      verdict.kind == note_log::NoteOutcomeKind::kAccepted ? "accepted" : "already accepted";
   return result;
 }
 
@@ -117,16 +181,19 @@
 }
 
 Json::Value OperatorApi::History() const {
+  if (note_control_ == nullptr) {
+    throw base::Error("this node is no control host; ask one of them");
+  }
+  const std::uint64_t latest = notes_.number();
+  const std::uint64_t first = latest < kHistoryLength ? 1 : latest - kHistoryLength + 1;
   Json::Value result;
   result["notes"] = Json::Value(Json::arrayValue);
-  for (std::uint64_t number = 1; number <= notes_.number(); ++number) {
-    if (const auto note = notes_.Find(number)) {
-      Json::Value row;
-      row["number"] = static_cast<Json::UInt64>(note->number);
-      row["author"] = note->author;
-      row["digest"] = note->digest;
-      result["notes"].append(row);
-    }
+  for (const note_log::NoteRecord& record : note_control_->History(first, kHistoryLength)) {
+    Json::Value row;
+    row["number"] = static_cast<Json::UInt64>(record.number);
+    row["author"] = record.author;
+    row["digest"] = record.digest;
+    result["notes"].append(row);
   }
   return result;
 }
@@ -149,9 +216,22 @@
           ? "open"
           : fmt::format("{}/{}", gate.admission.level.rank(), gate.admission.level.share());
   status["zones"] = Json::Value(Json::arrayValue);
+  AddControlStatus(status);
   return status;
 }
 
+void OperatorApi::AddControlStatus(Json::Value& status) const {
+  if (note_control_ == nullptr) {
+    return;
+  }
+  const ControlGroupStatus control = note_control_->status();
+  status["control_role"] = NameOf(control.host);
+  status["control_leader"] = control.leader;
+  status["control_members"] = fmt::format("{}", fmt::join(control.members, " "));
+  status["control_term"] = static_cast<Json::UInt64>(control.host.soft_state.term);
+  status["control_applied"] = static_cast<Json::UInt64>(control.host.applied);
+}
+
 Json::Value OperatorApi::Upstreams(const Json::Value& parameters) const {
   Json::Value result;
   result["upstreams"] = Json::Value(Json::arrayValue);
--- a/libraries/node/operator_api.h
+++ b/libraries/node/operator_api.h
@@ -5,8 +5,10 @@
 #include <string>
 
 #include "libraries/control_rpc/control_rpc.h"
+#include "libraries/node/group_client.h"
 #include "libraries/node/membership_table.h"
 #include "libraries/node/node_services.h"
+#include "libraries/node/note_control.h"
 #include "libraries/node/note_table.h"
 #include "libraries/node/upstream_gate.h"
 
@@ -15,8 +17,12 @@
 /** Carries out the operator's calls to this node. */
 class OperatorApi {
  public:
-  OperatorApi(const NodeServices& services, NoteTable& notes, MembershipTable& members,
-              UpstreamGate& gate);
+  /**
+   * @param note_client Reaches the group of release notes.
+   * @param note_control Member of that group; null on a node that is no control host.
+   */
+  OperatorApi(const NodeServices& services, NoteTable& notes, GroupClient& note_client,
+              const NoteControl* note_control, MembershipTable& members, UpstreamGate& gate);
 
   /** @return The methods by name, for the RPC server. */
   std::map<std::string, control_rpc::RpcMethod> Methods();
@@ -27,11 +33,14 @@
   Json::Value ShowNote(const Json::Value& parameters) const;
   Json::Value History() const;
   Json::Value Status() const;
+  void AddControlStatus(Json::Value& status) const;
   Json::Value Upstreams(const Json::Value& parameters) const;
   Json::Value Drain();
 
   const NodeServices& services_;
   NoteTable& notes_;
+  GroupClient& note_client_;
+  const NoteControl* note_control_;
   MembershipTable& members_;
   UpstreamGate& gate_;
 };
--- a/libraries/transport/timer_driver.cc
+++ b/libraries/transport/timer_driver.cc
@@ -1,6 +1,7 @@
 #include "libraries/transport/timer_driver.h"
 
 #include <algorithm>
+#include <future>
 
 namespace borageloft::transport {
 
@@ -12,10 +13,13 @@
 }
 
 void TimerDriver::Stop() {
-  asio::post(strand_, [this] {
+  std::promise<void> stopped;
+  asio::post(strand_, [&] {
     is_stopped_ = true;
     timer_.cancel();
+    stopped.set_value();
   });
+  stopped.get_future().wait();
 }
 
 void TimerDriver::Schedule() {
--- a/libraries/transport/timer_driver.h
+++ b/libraries/transport/timer_driver.h
@@ -16,7 +16,7 @@
   /** Begins driving. */
   void Start();
 
-  /** Stops driving; a round that is running may still finish. */
+  /** Stops driving and waits for a round that is running. The event loop must be running. */
   void Stop();
 
  private:
--- a/libraries/wire/frame.h
+++ b/libraries/wire/frame.h
@@ -106,12 +106,10 @@
 
 /** Receiver of a control message within a node. */
 enum class Channel : std::uint8_t {
-  kNoteReplication = 0,
-  kLedgerReplication = 1,
-  kMembership = 2,
-  kDissemination = 3,
-  kLedger = 4,
-  kNotes = 5,
+  kReplication = 0,
+  kMembership = 1,
+  kDissemination = 2,
+  kNotes = 3,
 };
 
 /** A message of the system's own processes; its payload is decoded by the channel's library. */
--- a/tests/wire/frame_codec_test.cc
+++ b/tests/wire/frame_codec_test.cc
@@ -29,7 +29,7 @@
           Cancel{3, 7},
           Ping{1},
           Pong{1},
-          Control{Channel::kLedger, std::string(1000, 'x')}};
+          Control{Channel::kReplication, std::string(1000, 'x')}};
 }
 
 TEST(FrameCodecTest, RoundTripsEveryFrame) {
@@ -86,7 +86,7 @@
 }
 
 TEST(FrameCodecTest, RefusesFrameAboveTheBound) {
-  EXPECT_THROW(EncodeFrame(Control{Channel::kLedger, std::string(200, 'x')}, 100), WireError);
+  EXPECT_THROW(EncodeFrame(Control{Channel::kReplication, std::string(200, 'x')}, 100), WireError);
 }
 
 // Replays the fuzzer's corpus, so that a fault found once stays fixed.
