Admission: Let light windows raise the reference latency

Cause: the reference followed only low windows and settled 30% below the true latency, so the limit was cut below what the upstream works on at once. Change: windows after a cut or with few requests in flight move it both ways.

--- a/libraries/admission/concurrency_limit.cc
+++ b/libraries/admission/concurrency_limit.cc
@@ -49,9 +49,12 @@
 constexpr double kOverloadedShare = 0.05;
 constexpr double kOverloadedCut = 0.8;
 
-// Weight of a window below the reference. Windows above it never raise it, or a standing queue
-// inside the upstream would become the reference; only a cut without effect does.
+// Weight of a window in the reference. A window with the limit in use only lowers it, or a standing
+// queue inside the upstream would become the reference. Following low windows alone would bias it
+// by the spread of windows, so one after a cut or with few requests in flight also raises it.
 constexpr double kReferenceRate = 0.2;
+constexpr double kPlausibleInflation = 1.5;
+constexpr double kLightUse = 0.5;
 
 // A window below this share of the reference is no outlier: a slow upstream has recovered.
 constexpr double kCertainFall = 0.5;
@@ -126,7 +129,8 @@
     reference_ = latency;
     return;
   }
-  if (limit_before_cut_ > 0) {
+  const bool is_after_cut = limit_before_cut_ > 0;
+  if (is_after_cut) {
     if (IsCutUseless(latency)) {
       SetLimit(limit_before_cut_);
       reference_ = latency;
@@ -136,10 +140,12 @@
     limit_before_cut_ = 0;
   }
   const double inflation = latency / reference_;
+  const double in_flight = in_flight_sum_ / static_cast<double>(count_);
+  const bool is_light = is_after_cut || in_flight < limit_ * kLightUse;
   if (inflation < kCertainFall) {
     reference_ = latency;
     SetLimit(std::max(limit_, regrowth_bound_));
-  } else if (inflation < 1) {
+  } else if (inflation < (is_light ? kPlausibleInflation : 1)) {
     reference_ += (latency - reference_) * kReferenceRate;
   }
   if (inflation > kTolerance) {
