Admission: Follow latency within a few requests

Cause: a slow upstream finishes so few requests that a latency smoothed over ten of them lags by 0.4 s. Change: weight 0.25 in place of 0.1.

--- a/libraries/admission/concurrency_limit.cc
+++ b/libraries/admission/concurrency_limit.cc
@@ -40,9 +40,9 @@
 // Growth of a limit that has not been reached before.
 constexpr double kGrowth = 0.1;
 
-// Weight of one request in the recent latency, which has to show within about ten that a slow
+// Weight of one request in the recent latency, which has to show within a few that a slow
 // upstream has recovered.
-constexpr double kRecentRate = 0.1;
+constexpr double kRecentRate = 0.25;
 
 // An upstream that refuses more than this share of a window for overload is cut without regard to
 // latency, since refusals are fast.
