Admission: Count the oldest wait as queueing delay

Cause: requests of a class that more important ones hold back never start, so the mean wait of started requests did not show them; they were admitted, ran at the upper hops and were dropped at the deep one. Change: the delay is at least half the wait of the oldest request.

--- a/libraries/admission/level_controller.cc
+++ b/libraries/admission/level_controller.cc
@@ -26,6 +26,9 @@
 // Share by which the remembered demand of a class falls in one interval, which halves it in 7 s.
 constexpr double kForgetting = 0.005;
 
+// The oldest of a queue that moves has waited about twice the mean.
+constexpr int kStarvationDivisor = 2;
+
 // Work admitted while the delay is above target, as a share of the work finished: less by this for
 // each multiple of the target, down to a bound that empties a queue without idling the upstream.
 constexpr double kDrainGain = 0.05;
@@ -110,7 +113,11 @@
   if (now - interval_start_ < interval_) {
     return;
   }
-  delay_ = waits_ > 0 ? wait_sum_ / static_cast<base::Duration::rep>(waits_) : oldest_wait;
+  // Requests of a class that more important ones hold back never start, so their wait shows only in
+  // the age of the oldest.
+  delay_ = std::max(
+      oldest_wait / kStarvationDivisor,
+      waits_ > 0 ? wait_sum_ / static_cast<base::Duration::rep>(waits_) : base::Duration::zero());
   is_standing_ = waits_ > 0 ? wait_min_ > target_delay_ : oldest_wait > target_delay_;
   Measure();
   const double ratio =
