--- a/libraries/node/operator_api.cc
+++ b/libraries/node/operator_api.cc
@@ -134,6 +134,7 @@
       {"status", [this](const Json::Value&) { return Status(); }},
       {"upstreams", [this](const Json::Value& parameters) { return Upstreams(parameters); }},
       {"drain", [this](const Json::Value&) { return Drain(); }},
+      {"drain_end", [this](const Json::Value&) { return EndDrain(); }},
   };
 }
 
@@ -242,11 +243,16 @@
 }
 
 Json::Value OperatorApi::Drain() {
-  if (!gate_.Leave()) {
-    throw base::Error("no upstream is announced at this node");
-  }
+  const bool had_upstream = gate_.Drain();
+  Json::Value result;
+  result["state"] = had_upstream ? "leaving" : "drained; no upstream is announced";
+  return result;
+}
+
+Json::Value OperatorApi::EndDrain() {
+  gate_.EndDrain();
   Json::Value result;
-  result["state"] = "leaving";
+  result["state"] = "open for the upstream's next announcement";
   return result;
 }
 
--- a/libraries/node/operator_api.h
+++ b/libraries/node/operator_api.h
@@ -36,6 +36,7 @@
   void AddControlStatus(Json::Value& status) const;
   Json::Value Upstreams(const Json::Value& parameters) const;
   Json::Value Drain();
+  Json::Value EndDrain();
 
   const NodeServices& services_;
   NoteTable& notes_;
--- a/libraries/node/upstream_gate.cc
+++ b/libraries/node/upstream_gate.cc
@@ -43,8 +43,11 @@
   return false;
 }
 
-membership::NoteInstruction InstructionFor(const notes::Policy& policy,
-                                           const std::string& address) {
+membership::NoteInstruction InstructionFor(const notes::Policy& policy, const std::string& address,
+                                           bool is_drained) {
+  if (is_drained) {
+    return membership::NoteInstruction::kLeaving;
+  }
   const auto found = policy.upstreams().find(address);
   if (found == policy.upstreams().end()) {
     return membership::NoteInstruction::kUnnamed;
@@ -331,7 +334,7 @@
   AnnounceRefusal refusal = AnnounceRefusal::kNone;
   {
     const std::scoped_lock lock(mutex_);
-    upstream_.ApplyNote(InstructionFor(*policy, announcement.address), now);
+    upstream_.ApplyNote(InstructionFor(*policy, announcement.address, is_drained_), now);
     const std::optional<UpstreamData> before = upstream_.data();
     refusal = upstream_.Announce(announcement, now);
     if (refusal == AnnounceRefusal::kNone) {
@@ -393,6 +396,21 @@
   return had_upstream;
 }
 
+bool UpstreamGate::Drain() {
+  {
+    const std::scoped_lock lock(mutex_);
+    is_drained_ = true;
+  }
+  return Leave();
+}
+
+void UpstreamGate::EndDrain() {
+  const std::scoped_lock lock(mutex_);
+  is_drained_ = false;
+  // The next announcement states what the note says of its address.
+  upstream_.ApplyNote(membership::NoteInstruction::kUnnamed, services_.clock());
+}
+
 void UpstreamGate::BeginNodeStop() {
   const base::TimePoint now = services_.clock();
   FollowUp follow_up;
@@ -418,7 +436,7 @@
   {
     const std::scoped_lock lock(mutex_);
     if (const auto data = upstream_.data()) {
-      upstream_.ApplyNote(InstructionFor(policy, data->address), now);
+      upstream_.ApplyNote(InstructionFor(policy, data->address, is_drained_), now);
       BeginLeavingLocked(now, follow_up);
       if (upstream_.data()) {
         ConfigureGateLocked(policy);
--- a/libraries/node/upstream_gate.h
+++ b/libraries/node/upstream_gate.h
@@ -80,6 +80,16 @@
   /** The upstream asks to leave. @return Whether there was one. */
   bool Leave();
 
+  /**
+   * The operator drains the upstream: it leaves, and its announcements are refused until
+   * EndDrain().
+   * @return Whether there was one to leave.
+   */
+  bool Drain();
+
+  /** Ends Drain(): the upstream's next announcement is accepted again. */
+  void EndDrain();
+
   /** The node shuts down. */
   void BeginNodeStop();
 
@@ -147,6 +157,7 @@
   std::shared_ptr<http::UpstreamClient> client_;
   std::map<GateCallId, CallPointer> calls_;
   std::uint64_t next_call_ = 1;
+  bool is_drained_ = false;  // By the operator.
   admission::AdmissionLevel level_below_;
 
   base::WorkerPool workers_;
--- a/utilities/borageloft/status_commands.cc
+++ b/utilities/borageloft/status_commands.cc
@@ -66,11 +66,13 @@
   auto drain_connection = std::make_shared<NodeConnection>();
   CLI::App* drain = application.add_subcommand(
       "drain", "Let the upstream beside a node leave; work in progress ends first");
+  auto ends = std::make_shared<bool>(false);
+  drain->add_flag("--end", *ends, "Let the upstream announce itself again");
   drain_connection->AddOptions(*drain);
   drain->footer("Example: borageloft drain --node 10.0.0.7:7003");
-  drain->callback([drain_connection] {
-    const Json::Value result =
-        drain_connection->Connect().Call("drain", Json::Value(Json::objectValue));
+  drain->callback([drain_connection, ends] {
+    const Json::Value result = drain_connection->Connect().Call(*ends ? "drain_end" : "drain",
+                                                                Json::Value(Json::objectValue));
     fmt::print("{}\n", result["state"].asString());
   });
 }
