--- a/libraries/membership/lease_client.cc
+++ b/libraries/membership/lease_client.cc
@@ -263,6 +263,15 @@
                                                     (0.5 + base::DrawFraction(hooks_.random)));
 }
 
+bool LeaseClient::is_served(base::TimePoint now) const {
+  for (std::size_t rank = 0; rank < ranked_.size(); ++rank) {
+    if (HasAnswered(rank, now)) {
+      return true;
+    }
+  }
+  return false;
+}
+
 bool LeaseClient::HasAnswered(std::size_t rank, base::TimePoint now) const {
   // Leases are answered every fourth time, so one lost answer is allowed for.
   const auto found = answered_.find(ranked_[rank]);
--- a/libraries/membership/lease_client.h
+++ b/libraries/membership/lease_client.h
@@ -83,6 +83,9 @@
   /** @return Whether no control host has answered for the silent_after of the settings. */
   bool is_view_stale(base::TimePoint now) const { return view_age(now) > settings_.silent_after; }
 
+  /** @return Whether a control host that serves views answers this node's leases. */
+  bool is_served(base::TimePoint now) const;
+
   /** @return The control host that the subscriptions are held at. */
   const std::string& source() const { return ranked_.at(source_); }
 
--- a/libraries/node/membership_table.cc
+++ b/libraries/node/membership_table.cc
@@ -113,6 +113,7 @@
   {
     const std::scoped_lock lock(client_mutex_);
     client_->Tick(services_.clock());
+    has_been_served_ = has_been_served_ || client_->is_served(services_.clock());
   }
   if (registry_ != nullptr) {
     const std::scoped_lock lock(registry_mutex_);
--- a/libraries/node/membership_table.h
+++ b/libraries/node/membership_table.h
@@ -1,6 +1,7 @@
 #ifndef BORAGELOFT_NODE_MEMBERSHIP_TABLE_H_
 #define BORAGELOFT_NODE_MEMBERSHIP_TABLE_H_
 
+#include <atomic>
 #include <condition_variable>
 #include <memory>
 #include <optional>
@@ -48,6 +49,12 @@
   /** @return Time since a control host was last heard. */
   base::Duration view_age() const;
 
+  /**
+   * @return Whether views were ever served to this node. A new deployment serves none until its
+   * control hosts have heard all nodes; a node that is cut off later goes on with its last view.
+   */
+  bool has_been_served() const { return has_been_served_; }
+
   /** @return The upstreams that this node knows: all of its region on a control host. */
   std::vector<ListedUpstream> List(const std::string& service) const;
 
@@ -65,6 +72,7 @@
   mutable base::RankedMutex client_mutex_{base::LockRank::kMembership};
   std::condition_variable_any view_changed_;
   std::unique_ptr<membership::LeaseClient> client_;
+  std::atomic<bool> has_been_served_ = false;
   mutable base::RankedMutex registry_mutex_{base::LockRank::kMembership};
   std::unique_ptr<membership::Registry> registry_;
 };
--- a/libraries/node/node.cc
+++ b/libraries/node/node.cc
@@ -186,7 +186,8 @@
       local_http(entry, gate,
                  {[this] { return metrics.Collect(Gauges()); },
                   [this] {
-                    return policies.current()->number() > 0 && !gate.status().admission.is_leaving;
+                    return policies.current()->number() > 0 && members->has_been_served() &&
+                           !gate.status().admission.is_leaving;
                   }}),
       caller_server(MakeHttpOptions(settings),
                     [this](const http::HttpRequest& request) {
--- a/meta/demo.sh
+++ b/meta/demo.sh
@@ -77,13 +77,13 @@
 echo
 jq -r '
   (["KIND","PHASE","OFFERED","GOODPUT/S","NOT RUN","UNKNOWN","DAMAGED","P50 MS","P99 MS"] | @tsv),
-  (.kinds[] | .["label"] as $kind | .phases[] |
-    [$kind, .phase, .offered, (.goodput_per_second * 10 | round / 10), .not_run, .unknown,
-     (.damaged + .foreign), (.latency_ms.p50 * 10 | round / 10), (.latency_ms.p99 * 10 | round / 10)] | @tsv)
+  (.kinds[] | . as $kind | ("before", "during", "after") | . as $phase | $kind[$phase] |
+    [$kind["label"], $phase, .offered, (.goodput_per_second | round), .not_run, .unknown,
+     (.damaged + .foreign), (.p50_ms | round), (.p99_ms | round)] | @tsv)
   ' "$work/load.json" | column -t -s $'\t'
 twice=$(cat "$work"/record-* | cut -d' ' -f1 | sort | uniq -d | wc -l)
-damaged=$(jq '[.kinds[].phases[] | .damaged + .foreign] | add' "$work/load.json")
-cut_off=$(jq '[.kinds[].phases[] | select(.phase == "after") | .unknown] | add' "$work/load.json")
+damaged=$(jq '[.kinds[] | (.before, .during, .after) | .damaged + .foreign] | add' "$work/load.json")
+cut_off=$(jq '[.kinds[].after.unknown] | add' "$work/load.json")
 echo
 echo "claims executed twice: $twice; answers damaged: $damaged; cut off while draining: $cut_off;" \
   "recovered after $(jq -r '.recovery_ms // "more than 8000"' "$work/load.json") ms"
