Tests: Share the ThreadSanitizer rule for libcpp-httplib

Cause: the rule that leaves out accesses inside Debian's uninstrumented libcpp-httplib was linked into the workbench tests only; the http and control_rpc tests run the same library. Change: the file moves to tests/support, and borageloft_test takes it by SUPPORT.

--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -9,13 +9,17 @@
   target_link_libraries(borageloft_${name} PUBLIC ${ARG_DEPENDS} ${ARG_LINK} Threads::Threads)
 endfunction()
 
-# borageloft_test(<name> [DEPENDS <library>...] [LINK <target>...] [LABELS <label>...])
-# Declares the test program for libraries/<name> from every *_test.cc in its folder.
+# borageloft_test(<name> [DEPENDS <library>...] [LINK <target>...] [LABELS <label>...]
+#                 [SUPPORT <file>...])
+# Declares the test program for libraries/<name> from every source file in its folder except fuzz
+# targets, and from the named files of tests/support.
 # The label "concurrent" makes the ThreadSanitizer run include it.
 function(borageloft_test name)
-  cmake_parse_arguments(ARG "" "" "DEPENDS;LINK;LABELS" ${ARGN})
+  cmake_parse_arguments(ARG "" "" "DEPENDS;LINK;LABELS;SUPPORT" ${ARGN})
   file(GLOB sources CONFIGURE_DEPENDS *.cc)
   list(FILTER sources EXCLUDE REGEX "_fuzz\\.cc$")
+  list(TRANSFORM ARG_SUPPORT PREPEND ${PROJECT_SOURCE_DIR}/tests/support/)
+  list(APPEND sources ${ARG_SUPPORT})
   list(TRANSFORM ARG_DEPENDS PREPEND borageloft_)
   add_executable(${name}_test ${sources})
   target_link_libraries(${name}_test PRIVATE ${ARG_DEPENDS} ${ARG_LINK} GTest::gmock GTest::gtest GTest::gtest_main)
