HTTP: Pass bodies on unchanged and end every cancelled call

(3) A cancellation before the call reached its socket was lost, and one during the connect waited for it on the thread that drives the timers. (4) The time bound held for single reads only. Change: the server withholds the four headers concerned from cpp-httplib. The upstream's client cancels through its own socket hook, drops connections with surplus bytes, bounds the whole answer in time, and reports not-sent exactly when no byte was written. Conclusion: the cancellation test is met by either order of the two threads, so it guards (3) only in part.

--- a/libraries/http/bounded_stream.h
+++ b/libraries/http/bounded_stream.h
@@ -12,8 +12,8 @@
 namespace borageloft::http {
 
 /**
- * Socket stream of one caller's connection that bounds each request in bytes and time as a whole.
- * cpp-httplib bounds single reads only, so that a caller that sends a byte a second, or headers
+ * Socket stream of one connection that bounds each message read in bytes and time as a whole.
+ * cpp-httplib bounds single reads only, so that a peer that sends a byte a second, or headers
  * without end, would hold a thread for as long as it likes.
  */
 class BoundedStream : public httplib::Stream {
@@ -33,6 +33,9 @@
   /** @return Whether the request was cut off because it was too long or came too slowly. */
   bool has_exceeded_bounds() const { return has_exceeded_bounds_; }
 
+  /** @return Whether bytes were received that nobody read. */
+  bool has_unread() const { return position_ < filled_; }
+
   /** @return Whether the peer closed its connection. */
   bool IsPeerGone() const;
 
--- a/libraries/http/http_server.cc
+++ b/libraries/http/http_server.cc
@@ -21,10 +21,29 @@
 constexpr std::size_t kRequestsPerConnection = 1'000'000;
 
 thread_local const BoundedStream* current_stream = nullptr;
+// Headers of the request on this thread that cpp-httplib does not see; see WithholdHeaders().
+thread_local Headers withheld_headers;
 // Set when the request on this thread was malformed: what follows it on the connection cannot be
 // told apart from its rest.
 thread_local bool is_connection_spoilt = false;
 
+/**
+ * Keeps headers from cpp-httplib that belong between the caller and the upstream. It would unpack
+ * multipart and compressed bodies, refuse forms above 8 KiB, cut a part out of an answer that the
+ * upstream already cut, and compress answers that are compressed.
+ */
+void WithholdHeaders(httplib::Request& request) {
+  withheld_headers.clear();
+  for (const char* name : {"Content-Type", "Content-Encoding", "Accept-Encoding", "Range"}) {
+    const auto [first, last] = request.headers.equal_range(name);
+    for (auto header = first; header != last; ++header) {
+      withheld_headers.push_back({header->first, header->second});
+    }
+    request.headers.erase(first, last);
+  }
+  request.ranges.clear();
+}
+
 /** cpp-httplib's server with bounds on each request and a refusal above the connection bound. */
 class BoundedServer : public httplib::Server {
  public:
@@ -59,7 +78,7 @@
       stream.BeginRequest(options_.header_bytes + options_.body_bytes, options_.read_timeout,
                           options_.write_timeout);
       bool is_closed = false;
-      if (!process_request(stream, false, is_closed, nullptr) || is_closed ||
+      if (!process_request(stream, false, is_closed, WithholdHeaders) || is_closed ||
           is_connection_spoilt || stream.has_exceeded_bounds()) {
         break;
       }
@@ -105,6 +124,7 @@
 
 HttpRequest ConvertRequest(const httplib::Request& request) {
   HttpRequest converted;
+  converted.headers = withheld_headers;
   converted.method = request.method;
   converted.target = request.target;
   converted.body = request.body;
@@ -158,6 +178,9 @@
   for (const auto& [name, value] : request.headers) {
     header_bytes += name.size() + value.size();
   }
+  for (const wire::Header& header : withheld_headers) {
+    header_bytes += header.name.size() + header.value.size();
+  }
   if (header_bytes > options.header_bytes) {
     FillResponse(FormatProblem({431,
                                 "headers_too_large",
--- a/libraries/http/upstream_client.cc
+++ b/libraries/http/upstream_client.cc
@@ -1,16 +1,92 @@
 #include "libraries/http/upstream_client.h"
 
 #include <httplib.h>
+#include <poll.h>
+#include <sys/socket.h>
 
 #include <mutex>
+#include <utility>
 #include <vector>
 
+#include "libraries/http/bounded_stream.h"
+
 namespace borageloft::http {
 
 namespace {
 
 constexpr std::chrono::seconds kConnectTimeout{1};
 
+// Room for the status line, the headers and the chunk lengths of an answer beside its body.
+constexpr std::size_t kOverheadBytes = 128 * 1024;
+
+/**
+ * cpp-httplib's client for one call at a time that can be cancelled at any moment. Its own stop()
+ * waits for a connect in progress, and has no effect on a call that is about to start.
+ */
+class CancellableClient : public httplib::ClientImpl {
+ public:
+  using ClientImpl::ClientImpl;
+
+  /** Starts a call that may read @p maximum_bytes within @p timeout. */
+  void BeginCall(std::size_t maximum_bytes, base::Duration timeout) {
+    const std::scoped_lock lock(mutex_);
+    maximum_bytes_ = maximum_bytes;
+    timeout_ = timeout;
+    is_cancelled_ = false;
+    has_begun_ = false;
+  }
+
+  /** Ends the call, or keeps it from beginning. */
+  void Cancel() {
+    const std::scoped_lock lock(mutex_);
+    is_cancelled_ = true;
+    if (running_ != INVALID_SOCKET) {
+      ::shutdown(running_, SHUT_RDWR);
+    }
+  }
+
+  /** @return Whether a byte of the request may have been sent. */
+  bool has_begun() const { return has_begun_; }
+
+  /** @return Whether more than the answer arrived, which the next call must not take for its own.
+   */
+  bool has_surplus() const { return has_surplus_; }
+
+  /** @return Whether the idle connection can carry another call. */
+  bool IsReusable() const {
+    pollfd entry{socket(), POLLIN, 0};
+    return entry.fd != INVALID_SOCKET && ::poll(&entry, 1, 0) == 0;
+  }
+
+ private:
+  bool process_socket(const Socket& connected,
+                      std::function<bool(httplib::Stream&)> callback) override {
+    BoundedStream stream(connected.sock);
+    {
+      const std::scoped_lock lock(mutex_);
+      if (is_cancelled_) {
+        return false;
+      }
+      running_ = connected.sock;
+      has_begun_ = true;
+      stream.BeginRequest(maximum_bytes_, timeout_, timeout_);
+    }
+    const bool is_done = callback(stream);
+    has_surplus_ = stream.has_unread();
+    const std::scoped_lock lock(mutex_);
+    running_ = INVALID_SOCKET;
+    return is_done;
+  }
+
+  std::mutex mutex_;
+  std::size_t maximum_bytes_ = 0;
+  base::Duration timeout_{};
+  bool is_cancelled_ = false;
+  bool has_begun_ = false;
+  bool has_surplus_ = false;
+  socket_t running_ = INVALID_SOCKET;
+};
+
 bool HasKnownEnd(const std::string& method, const httplib::Response& response) {
   constexpr int kNoContent = 204;
   constexpr int kNotModified = 304;
@@ -31,26 +107,30 @@
 }  // namespace
 
 struct UpstreamClient::State {
-  std::unique_ptr<httplib::Client> Take();
-  void Return(std::unique_ptr<httplib::Client> client);
+  std::unique_ptr<CancellableClient> Take();
+  void Return(std::unique_ptr<CancellableClient> client);
 
   settings::Endpoint endpoint;
   std::size_t connections = 0;
   std::size_t body_bytes = 0;
   std::mutex mutex;
-  std::vector<std::unique_ptr<httplib::Client>> idle;
+  std::vector<std::unique_ptr<CancellableClient>> idle;
 };
 
-std::unique_ptr<httplib::Client> UpstreamClient::State::Take() {
+std::unique_ptr<CancellableClient> UpstreamClient::State::Take() {
   {
     const std::scoped_lock lock(mutex);
-    if (!idle.empty()) {
+    while (!idle.empty()) {
       auto client = std::move(idle.back());
       idle.pop_back();
-      return client;
+      // What arrives between two calls is either the end of the connection or bytes that would
+      // be read as the answer to the next call.
+      if (client->IsReusable()) {
+        return client;
+      }
     }
   }
-  auto client = std::make_unique<httplib::Client>(endpoint.address, endpoint.port);
+  auto client = std::make_unique<CancellableClient>(endpoint.address, endpoint.port);
   client->set_keep_alive(true);
   client->set_tcp_nodelay(true);
   client->set_decompress(false);
@@ -58,7 +138,7 @@
   return client;
 }
 
-void UpstreamClient::State::Return(std::unique_ptr<httplib::Client> client) {
+void UpstreamClient::State::Return(std::unique_ptr<CancellableClient> client) {
   const std::scoped_lock lock(mutex);
   if (idle.size() < connections) {
     idle.push_back(std::move(client));
@@ -80,9 +160,8 @@
   if (cancellation.is_cancelled()) {
     return UpstreamFailure::kNotSent;
   }
-  std::unique_ptr<httplib::Client> client = state_->Take();
-  client->set_read_timeout(timeout);
-  client->set_write_timeout(timeout);
+  std::unique_ptr<CancellableClient> client = state_->Take();
+  client->BeginCall(2 * state_->body_bytes + kOverheadBytes, timeout);
   httplib::Request outgoing;
   outgoing.method = request.method;
   outgoing.path = request.target;
@@ -100,14 +179,11 @@
     return true;
   };
   httplib::Error error = httplib::Error::Success;
-  cancellation.ReplaceHook([&client] { client->stop(); });
+  cancellation.ReplaceHook([&client] { client->Cancel(); });
   const bool has_answer = client->send(outgoing, response, error);
   cancellation.ReplaceHook({});
   if (!has_answer) {
-    const bool is_unsent = error == httplib::Error::Connection ||
-                           error == httplib::Error::ConnectionTimeout ||
-                           error == httplib::Error::BindIPAddress;
-    return is_unsent ? UpstreamFailure::kNotSent : UpstreamFailure::kUnknown;
+    return client->has_begun() ? UpstreamFailure::kUnknown : UpstreamFailure::kNotSent;
   }
   if (!IsWhole(request.method, response)) {
     return UpstreamFailure::kUnknown;
@@ -118,7 +194,9 @@
   for (const auto& [name, value] : response.headers) {
     answer.headers.push_back({name, value});
   }
-  state_->Return(std::move(client));
+  if (!client->has_surplus()) {
+    state_->Return(std::move(client));
+  }
   return answer;
 }
 
--- a/libraries/http/upstream_client.h
+++ b/libraries/http/upstream_client.h
@@ -12,7 +12,7 @@
 
 /** Why a call to the upstream brought no whole answer. */
 enum class UpstreamFailure {
-  kNotSent,  // No connection could be opened: the upstream cannot have run the request.
+  kNotSent,  // No byte of the request was sent: the upstream cannot have run it.
   kUnknown,  // The request may have reached the upstream's handler.
 };
 
@@ -34,7 +34,8 @@
 
   /**
    * Runs a request.
-   * @param timeout Longest wait for a single read or write; @p cancellation bounds the whole call.
+   * @param timeout Longest time for the whole answer, and for a single write.
+   * @param cancellation Ends the call when cancelled, also before or while it connects.
    * @return The whole answer or the failure. A cut answer, or one whose end cannot be known, is a
    *     failure.
    */
--- a/tests/http/http_test.cc
+++ b/tests/http/http_test.cc
@@ -158,10 +158,42 @@
   caller.join();
 }
 
-/** Upstream that sends fixed bytes for each connection and then closes it. */
+// Guards R3: bodies, ranges and encodings are the caller's and the upstream's business. A server
+// that interprets them loses multipart bodies, cuts answers twice or compresses them twice.
+TEST(HttpServerTest, PassesBodiesAndAnswersOnUnchanged) {
+  HttpServer server({}, [](const HttpRequest& request) {
+    return HttpResponse{200,
+                        {{"Content-Type", "text/plain"}, {"Content-Encoding", "gzip"}},
+                        FindHeader(request.headers, "content-type") + "|" +
+                            FindHeader(request.headers, "content-encoding") + "|" +
+                            FindHeader(request.headers, "range") + "|" + request.body};
+  });
+  const auto endpoint = server.Start(kAnyPort);
+  httplib::Client client("127.0.0.1", endpoint.port);
+  client.set_decompress(false);
+  const httplib::Headers headers = {{"Range", "bytes=0-3"}, {"Accept-Encoding", "gzip"}};
+  const std::string multipart =
+      "--b\r\nContent-Disposition: form-data; name=\"a\"\r\n\r\n1\r\n--b--\r\n";
+  auto result = client.Post("/", headers, multipart, "multipart/form-data; boundary=b");
+  ASSERT_TRUE(result);
+  EXPECT_EQ(result->status, 200);
+  EXPECT_EQ(result->body, "multipart/form-data; boundary=b||bytes=0-3|" + multipart);
+  const std::string form = "a=" + std::string(20'000, 'x');
+  result = client.Post("/", headers, form, "application/x-www-form-urlencoded");
+  ASSERT_TRUE(result);
+  EXPECT_EQ(result->body, "application/x-www-form-urlencoded||bytes=0-3|" + form);
+  result = client.Post("/", {{"Content-Encoding", "gzip"}}, "packed", "text/plain");
+  ASSERT_TRUE(result);
+  EXPECT_EQ(result->body, "text/plain|gzip||packed");
+}
+
+/** Upstream that sends fixed bytes once for each connection. */
 class RawUpstream {
  public:
-  explicit RawUpstream(std::string answer) : answer_(std::move(answer)) {
+  enum class End { kClose, kKeepOpen };
+
+  explicit RawUpstream(std::string answer, End end = End::kClose)
+      : answer_(std::move(answer)), end_(end) {
     listener_ = ::socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in address{};
     address.sin_family = AF_INET;
@@ -177,6 +209,9 @@
     ::shutdown(listener_, SHUT_RDWR);
     thread_.join();
     ::close(listener_);
+    for (const int socket : open_) {
+      ::close(socket);
+    }
   }
   RawUpstream(const RawUpstream&) = delete;
   RawUpstream& operator=(const RawUpstream&) = delete;
@@ -189,12 +224,18 @@
       char buffer[4096];
       ::recv(socket, buffer, sizeof(buffer), 0);
       ::send(socket, answer_.data(), answer_.size(), MSG_NOSIGNAL);
+      if (end_ == End::kKeepOpen) {
+        open_.push_back(socket);
+        continue;
+      }
       ::shutdown(socket, SHUT_RDWR);
       ::close(socket);
     }
   }
 
   std::string answer_;
+  End end_;
+  std::vector<int> open_;
   int listener_ = -1;
   std::uint16_t port_ = 0;
   std::thread thread_;
@@ -270,6 +311,52 @@
   canceller.join();
 }
 
+// Guards against a cancellation that is lost because the call has not reached the socket yet: the
+// upstream would work on for a caller that is gone. The accept queue of the upstream is full, so
+// that the call is still connecting, and the cancellation must not wait for it either.
+TEST(UpstreamClientTest, CancellationWhileConnectingSendsNothing) {
+  const int listener = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t length = sizeof(address);
+  ASSERT_EQ(::bind(listener, reinterpret_cast<sockaddr*>(&address), length), 0);
+  ASSERT_EQ(::listen(listener, 0), 0);
+  ::getsockname(listener, reinterpret_cast<sockaddr*>(&address), &length);
+  std::vector<int> fillers;
+  for (int i = 0; i < 4; ++i) {
+    fillers.push_back(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+    ::connect(fillers.back(), reinterpret_cast<sockaddr*>(&address), length);
+  }
+  UpstreamClient client({"127.0.0.1", ntohs(address.sin_port)}, 4, 1000);
+  Cancellation cancellation;
+  auto call = std::async(std::launch::async, [&] {
+    return client.Execute({"GET", "/", {}, "", "", {}}, seconds(30), cancellation);
+  });
+  cancellation.Cancel();
+  EXPECT_EQ(std::get<UpstreamFailure>(call.get()), UpstreamFailure::kNotSent);
+  for (const int filler : fillers) {
+    ::close(filler);
+  }
+  ::close(listener);
+}
+
+// Guards R3: bytes that an upstream sends beyond its answer are not taken for the next answer.
+TEST(UpstreamClientTest, SurplusBytesReachNobody) {
+  const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown";
+  const std::string stray = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray";
+  for (const auto connections : {1U, 4U}) {
+    RawUpstream upstream(answer + stray, RawUpstream::End::kKeepOpen);
+    UpstreamClient client({"127.0.0.1", upstream.port()}, connections, 1000);
+    for (int i = 0; i < 3; ++i) {
+      Cancellation cancellation;
+      const auto result = client.Execute({"GET", "/", {}, "", "", {}}, seconds(30), cancellation);
+      ASSERT_TRUE(std::holds_alternative<HttpResponse>(result));
+      EXPECT_EQ(std::get<HttpResponse>(result).body, "own");
+    }
+  }
+}
+
 TEST(ContextHeadersTest, RoundTrips) {
   ForwardedContext forwarded;
   forwarded.context = {"r-1", "claims", "", base::WallTime(milliseconds(1000)), 3, 7};
