--- a/libraries/note_log/note_codec.cc
+++ b/libraries/note_log/note_codec.cc
@@ -15,7 +15,6 @@
 
 // Bounds of a whole encoding: texts and records of the largest snapshot.
 constexpr std::size_t kMaxEncodedBytes = std::size_t{48} << 20U;
-constexpr std::size_t kMaxArraySize = 100'000;
 constexpr std::size_t kMaxDepth = 6;
 
 /** Reads the fields of one msgpack array in order. */
@@ -126,15 +125,18 @@
   return {buffer.data(), buffer.size()};
 }
 
-/** Parses @p bytes and passes the top-level object to @p read. */
+/**
+ * Parses @p bytes and passes the top-level object to @p read. The parser takes memory for an array
+ * as soon as it has read its length, so @p max_array bounds what a short input can claim.
+ */
 template <typename Read>
-auto Parse(std::string_view bytes, Read read) {
+auto Parse(std::string_view bytes, Read read, std::size_t max_array = kMaxChainNotes) {
   if (bytes.size() > kMaxEncodedBytes) {
     throw NoteLogError(fmt::format("{} bytes exceed the bound", bytes.size()));
   }
   try {
     std::size_t offset = 0;
-    const msgpack::unpack_limit limit(kMaxArraySize, 0, 0, kMaxEncodedBytes, 0, kMaxDepth);
+    const msgpack::unpack_limit limit(max_array, 0, 0, kMaxEncodedBytes, 0, kMaxDepth);
     // Byte strings refer to the input; the readers copy what they keep.
     const msgpack::object_handle handle = msgpack::unpack(
         bytes.data(), bytes.size(), offset,
@@ -238,7 +240,7 @@
 }
 
 NoteLogSnapshot DecodeLogSnapshot(std::string_view bytes) {
-  return Parse(bytes, [](const msgpack::object& object) {
+  const auto read = [](const msgpack::object& object) {
     FieldReader reader(object, 2);
     NoteLogSnapshot snapshot;
     snapshot.chain = ReadChain(reader.Next());
@@ -252,7 +254,8 @@
       snapshot.records.push_back(std::move(record));
     }
     return snapshot;
-  });
+  };
+  return Parse(bytes, read, kMaxRememberedNotes);
 }
 
 }  // namespace borageloft::note_log
--- a/libraries/note_log/note_history.h
+++ b/libraries/note_log/note_history.h
@@ -11,6 +11,9 @@
 
 namespace borageloft::note_log {
 
+/** Most notes that a history can remember; a snapshot with more does not decode. */
+inline constexpr std::size_t kMaxRememberedNotes = 100'000;
+
 /** What is remembered of an accepted note after its text was folded into the policy. */
 struct NoteRecord {
   NoteNumber number = 0;
--- a/libraries/note_log/note_log_state.cc
+++ b/libraries/note_log/note_log_state.cc
@@ -12,7 +12,8 @@
     : options_(std::move(options)), history_(options_.remembered_notes) {
   VERIFY(options_.validate && options_.fold);
   VERIFY(options_.max_chain_notes > 0 && options_.max_chain_notes <= kMaxChainNotes);
-  VERIFY(options_.remembered_notes >= options_.max_chain_notes);
+  VERIFY(options_.remembered_notes >= options_.max_chain_notes &&
+         options_.remembered_notes <= kMaxRememberedNotes);
 }
 
 NoteOutcome NoteLogState::Apply(const Note& note) {
--- a/tests/note_log/note_log_test.cc
+++ b/tests/note_log/note_log_test.cc
@@ -3,6 +3,10 @@
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
 namespace borageloft::note_log {
 namespace {
 
@@ -164,5 +168,33 @@
   EXPECT_EQ(DecodeOutcome(EncodeOutcome(outcome)), outcome);
 }
 
+template <typename Decode>
+bool Decodes(Decode decode, const std::string& bytes) {
+  try {
+    decode(bytes);
+    return true;
+  } catch (const NoteLogError&) {
+    return false;
+  }
+}
+
+// Guards against the return of inputs that once broke a decoder. Files named ok-* must decode as
+// one of the types, all others as none.
+TEST_F(NoteLogTest, CorpusIsReplayed) {
+  std::size_t count = 0;
+  for (const auto& file : std::filesystem::directory_iterator(BORAGELOFT_CORPUS)) {
+    std::ifstream stream(file.path(), std::ios::binary);
+    std::ostringstream content;
+    content << stream.rdbuf();
+    const std::string bytes = content.str();
+    const bool decodes = Decodes(DecodeNote, bytes) || Decodes(DecodeOutcome, bytes) ||
+                         Decodes(DecodeDelta, bytes) || Decodes(DecodeChain, bytes) ||
+                         Decodes(DecodeLogSnapshot, bytes);
+    EXPECT_EQ(decodes, file.path().filename().string().starts_with("ok-")) << file.path();
+    ++count;
+  }
+  EXPECT_GE(count, 8U);
+}
+
 }  // namespace
 }  // namespace borageloft::note_log
