Node: Leave a gate's own level out of the levels below it

Cause: at twice the capacity the entry refused every browse request while the gates ran 1 of 4 slots: each gate took the level of its own service, learned from the answers of its own upstreams, as one of the levels below it, so a low level came back with every answer and never opened. Change: only the services that it calls count. Ruled out: the concurrency limit, which stood at all 4 slots.

--- a/libraries/node/node.cc
+++ b/libraries/node/node.cc
@@ -242,8 +242,10 @@
   };
   hooks.level_below = [this] {
     const auto data = gate.status().upstream;
-    return data ? routes.WorstAlong(policies.current()->FindCallPath(data->service))
-                : admission::AdmissionLevel();
+    if (!data) {
+      return admission::AdmissionLevel();
+    }
+    return routes.WorstAlong(policies.current()->FindCallsBelow(data->service));
   };
   hooks.once.acquire = [](const wire::Request&, base::TimePoint) {
     return std::optional<wire::Response>();
--- a/libraries/notes/policy.cc
+++ b/libraries/notes/policy.cc
@@ -288,6 +288,12 @@
   return found == call_paths_.end() ? unknown : found->second;
 }
 
+std::vector<std::string> Policy::FindCallsBelow(const std::string& service) const {
+  std::vector<std::string> path = FindCallPath(service);
+  std::erase(path, service);
+  return path;
+}
+
 const ClassPolicy& Policy::FindClass(const std::string& name) const {
   const auto found = classes_.find(name);
   return found == classes_.end() ? DefaultClass() : found->second;
--- a/libraries/notes/policy.h
+++ b/libraries/notes/policy.h
@@ -86,6 +86,13 @@
   /** @return @p service and all services that it calls, directly or through others. */
   const std::vector<std::string>& FindCallPath(const std::string& service) const;
 
+  /**
+   * @return The services that @p service calls, directly or through others, without itself. The
+   * level of a gate takes the levels below it into account; with its own among them, a low level
+   * would come back in answers and keep itself in force after the overload has ended.
+   */
+  std::vector<std::string> FindCallsBelow(const std::string& service) const;
+
   /** @return The class of the first rule that matches the request, else the default class. */
   const ClassPolicy& Classify(std::string_view service, std::string_view method,
                               std::string_view path) const;
--- a/tests/notes/policy_test.cc
+++ b/tests/notes/policy_test.cc
@@ -60,6 +60,23 @@
             (std::vector<std::string>{"claims-ledger", "parts-bin"}));
 }
 
+// Guards against a gate whose own level is taken for one of the services below it, also when
+// services call each other in a cycle.
+TEST(PolicyTest, CallsBelowLeaveOutTheServiceItself) {
+  const Policy policy = Apply({}, R"([note]
+number = 1
+author = ana
+[added service a]
+calls = b, a
+[added service b]
+calls = c, a
+[added service c]
+)");
+  EXPECT_EQ(policy.FindCallsBelow("a"), (std::vector<std::string>{"b", "c"}));
+  EXPECT_EQ(policy.FindCallsBelow("b"), (std::vector<std::string>{"c", "a"}));
+  EXPECT_TRUE(policy.FindCallsBelow("c").empty());
+}
+
 // Guards against a snapshot that loses or changes a part of the policy.
 TEST(PolicyTest, FormattedPolicyGivesAnEqualPolicy) {
   Policy policy = Apply({}, kFirst);
