Admission: Take what was finished lately as a bound of the capacity

Cause: the capacity was learned only while requests waited, so after a slow phase the first burst closed the level to half, and half of the oldest wait showed starved requests late. Change: the smoothed outflow is a lower bound of the capacity, and 0.6 of the oldest wait counts as delay.

--- a/libraries/admission/level_controller.cc
+++ b/libraries/admission/level_controller.cc
@@ -26,8 +26,9 @@
 // Share by which the remembered demand of a class falls in one interval, which halves it in 7 s.
 constexpr double kForgetting = 0.005;
 
-// The oldest of a queue that moves has waited about twice the mean.
-constexpr int kStarvationDivisor = 2;
+// Part of the wait of the oldest that counts, since the oldest of a queue that moves has waited
+// about twice the mean.
+constexpr double kStarvationShare = 0.6;
 
 // Work admitted while the delay is above target, as a share of the work finished: less by this for
 // each multiple of the target, down to a bound that empties a queue without idling the upstream.
@@ -116,7 +117,7 @@
   // Requests of a class that more important ones hold back never start, so their wait shows only in
   // the age of the oldest.
   delay_ = std::max(
-      oldest_wait / kStarvationDivisor,
+      std::chrono::duration_cast<base::Duration>(oldest_wait * kStarvationShare),
       waits_ > 0 ? wait_sum_ / static_cast<base::Duration::rep>(waits_) : base::Duration::zero());
   is_standing_ = waits_ > 0 ? wait_min_ > target_delay_ : oldest_wait > target_delay_;
   Measure();
@@ -148,8 +149,11 @@
   const auto finished = static_cast<double>(finished_);
   if (delay_ > target_delay_) {
     // Only while requests wait is the outflow what the upstream can do.
-    capacity_ += (finished - capacity_) * (capacity_ == 0 ? 1 : kCapacitySmoothing);
+    capacity_ += (finished - capacity_) * kCapacitySmoothing;
   }
+  // What was finished lately shows that the capacity is at least that, also after a slow phase.
+  outflow_ += (finished - outflow_) * kSmoothing;
+  capacity_ = std::max(capacity_, outflow_);
   for (auto& [rank, demand] : demands_) {
     const auto admitted = static_cast<double>(demand.admitted);
     demand.inflow += (admitted - demand.inflow) * kSmoothing;
--- a/libraries/admission/level_controller.h
+++ b/libraries/admission/level_controller.h
@@ -106,6 +106,7 @@
   base::Duration wait_min_ = base::Duration::max();
   base::Duration delay_{};
   bool is_standing_ = false;
+  double outflow_ = 0;   // Smoothed finished requests per interval.
   double capacity_ = 0;  // Smoothed finished requests per interval with delay above target.
   std::uint32_t calm_intervals_ = 0;
   std::array<AdmissionLevel, kRecentIntervals> recent_{};
