Admission: Bound the target delay at 50 ms

Cause: at a service slowed to 200 ms the target of two service times was 300 ms or more, so requests waited away most of a 500 ms deadline and the concurrency limit rose to the slots. Change: the target is at most 50 ms unless the settings ask for more.

--- a/libraries/admission/admission_gate.cc
+++ b/libraries/admission/admission_gate.cc
@@ -16,6 +16,8 @@
 // so a longer pause would leave slots idle after an overload has ended.
 constexpr base::Duration kLongestRetryAfter = std::chrono::seconds(1);
 
+constexpr base::Duration kLongestTargetDelay = std::chrono::milliseconds(50);
+
 }  // namespace
 
 AdmissionGate::AdmissionGate(const GateLimits& limits, const std::vector<ClassLimits>& classes)
@@ -273,9 +275,11 @@
 }
 
 void AdmissionGate::UpdateLevel(base::TimePoint now) {
-  // A wait of two service times is no overload yet: chance alone brings it about near capacity.
+  // A wait of two service times is no overload yet: chance alone brings it about near capacity. The
+  // bound keeps a slow upstream from using up the deadlines of its callers by waits.
+  const base::Duration wanted = 2 * concurrency_.reference_latency();
   controller_.set_target_delay(
-      std::max(limits_.target_delay, 2 * concurrency_.reference_latency()));
+      std::max(limits_.target_delay, std::min(wanted, kLongestTargetDelay)));
   const auto oldest = queue_.oldest();
   controller_.Update(oldest ? now - *oldest : base::Duration::zero(), concurrency_.Throughput(),
                      now);
