Dissemination: Carry addresses, expected nodes and the cut-off of a region

A node knew its parent by name only, a control host could judge only the zones of its own region, and a node below a control host that is cut off took itself for joined.

A position now carries the addresses of the candidates, and a child tells its parent its own. Control hosts tell those of other regions which nodes they expect. The answer to a status says whether the region is cut off. A control host with a zone counts itself in that zone. Each regular request for a position begins with the first control host, and an answer to a node with another planner's position gets a higher version, so that all nodes return to one plan after a failure. A process that ends tells its parent and children.

--- a/libraries/dissemination/codec.cc
+++ b/libraries/dissemination/codec.cc
@@ -45,6 +45,22 @@
   }
 }
 
+void PackNodes(Packer& packer, const NodeSet& nodes) {
+  packer.pack_array(2);
+  packer.pack(nodes.count);
+  packer.pack(nodes.hash_sum);
+}
+
+void PackNames(Packer& packer, const std::vector<std::string>& names, std::size_t maximum) {
+  if (names.size() > maximum) {
+    throw Error("dissemination message: too many names");
+  }
+  packer.pack_array(static_cast<std::uint32_t>(names.size()));
+  for (const std::string& name : names) {
+    PackText(packer, name);
+  }
+}
+
 /** Packs the fields of each message type behind its type number. */
 struct MessagePacker {
   Packer& packer;
@@ -59,6 +75,7 @@
     packer.pack(message.number);
     packer.pack(message.wants_snapshot);
     PackReport(packer, message.report);
+    PackText(packer, message.address);
   }
   void operator()(const StatusDown& message) const {
     PackText(packer, message.node);
@@ -67,6 +84,7 @@
     packer.pack(message.oldest);
     packer.pack(message.root_age_ms);
     packer.pack(message.is_accepted);
+    packer.pack(message.is_cut_off);
   }
   void operator()(const Detach& message) const {
     PackText(packer, message.node);
@@ -81,19 +99,28 @@
     packer.pack(message.age_s);
   }
   void operator()(const Position& message) const {
-    if (message.candidates.size() > kMaximumCandidates) {
-      throw Error("dissemination message: too many candidates");
-    }
     packer.pack(message.version);
-    packer.pack_array(static_cast<std::uint32_t>(message.candidates.size()));
-    for (const std::string& candidate : message.candidates) {
-      PackText(packer, candidate);
+    PackNames(packer, message.candidates, kMaximumCandidates);
+    if (message.addresses.size() > kMaximumCandidates) {
+      throw Error("dissemination message: too many addresses");
+    }
+    packer.pack_array(static_cast<std::uint32_t>(message.addresses.size()));
+    for (const NodeAddress& entry : message.addresses) {
+      packer.pack_array(2);
+      PackText(packer, entry.node);
+      PackText(packer, entry.address);
     }
   }
+  void operator()(const ExpectedNodes& message) const {
+    PackText(packer, message.zone);
+    PackNodes(packer, message.reachable);
+    PackNodes(packer, message.all);
+    PackNames(packer, message.unreachable, kMaximumUnreachable);
+  }
 };
 
 /** Number of fields of each message type, in the order of the variant. */
-constexpr std::uint32_t kFieldCounts[] = {3, 3, 7, 6, 3, 5, 2};
+constexpr std::uint32_t kFieldCounts[] = {3, 3, 8, 7, 3, 5, 3, 4};
 static_assert(std::size(kFieldCounts) == std::variant_size_v<Message>);
 
 /** Reads the elements of one msgpack array in order and checks each type and bound. */
@@ -190,13 +217,28 @@
   return ZoneReport(std::move(buckets));
 }
 
-std::vector<std::string> ReadCandidates(Reader& outer) {
+std::vector<std::string> ReadNames(Reader& outer, std::size_t maximum) {
+  Reader reader(outer.Next(), maximum);
+  std::vector<std::string> names;
+  while (reader.has_more()) {
+    names.push_back(reader.Name());
+  }
+  return names;
+}
+
+std::vector<NodeAddress> ReadAddresses(Reader& outer) {
   Reader reader(outer.Next(), kMaximumCandidates);
-  std::vector<std::string> candidates;
+  std::vector<NodeAddress> addresses;
   while (reader.has_more()) {
-    candidates.push_back(reader.Name());
+    Reader fields(reader.Next(), 2);
+    addresses.push_back(NodeAddress{fields.Name(), fields.Name()});
   }
-  return candidates;
+  return addresses;
+}
+
+NodeSet ReadNodes(Reader& outer) {
+  Reader reader(outer.Next(), 2);
+  return NodeSet{reader.Number(), reader.Number()};
 }
 
 /** Reads the fields of the message type with the given number. */
@@ -208,18 +250,22 @@
     case 1:
       return SnapshotMessage{ReadNote(reader)};
     case 2:
-      return StatusUp{reader.Name(),   reader.Text(), reader.Number(),   reader.Number(),
-                      reader.Number(), reader.Flag(), ReadReport(reader)};
+      return StatusUp{reader.Name(),   reader.Text(), reader.Number(),    reader.Number(),
+                      reader.Number(), reader.Flag(), ReadReport(reader), reader.Text()};
     case 3:
-      return StatusDown{reader.Name(),   reader.Number(),      reader.Number(),
-                        reader.Number(), reader.ShortNumber(), reader.Flag()};
+      return StatusDown{reader.Name(),        reader.Number(), reader.Number(), reader.Number(),
+                        reader.ShortNumber(), reader.Flag(),   reader.Flag()};
     case 4:
       return Detach{reader.Name(), reader.Number(), reader.Number()};
     case 5:
       return PositionRequest{reader.Name(), reader.Text(), reader.Number(), reader.Number(),
                              reader.ShortNumber()};
+    case 6:
+      return Position{reader.Number(), ReadNames(reader, kMaximumCandidates),
+                      ReadAddresses(reader)};
     default:
-      return Position{reader.Number(), ReadCandidates(reader)};
+      return ExpectedNodes{reader.Text(), ReadNodes(reader), ReadNodes(reader),
+                           ReadNames(reader, kMaximumUnreachable)};
   }
 }
 
--- a/libraries/dissemination/in_force_tracker.cc
+++ b/libraries/dissemination/in_force_tracker.cc
@@ -20,6 +20,13 @@
   held.unreachable = std::move(unreachable);
 }
 
+void InForceTracker::SetExpected(const ExpectedNodes& expected) {
+  Zone& held = zones_[expected.zone];
+  held.reachable = expected.reachable;
+  held.all = expected.all;
+  held.unreachable = expected.unreachable;
+}
+
 void InForceTracker::Report(const StatusUp& report, base::TimePoint now) {
   Zone& zone = zones_[report.zone];
   HostReport& held = zone.reports[report.node];
@@ -57,6 +64,7 @@
                     zone.reachable.count,
                     sum.nodes().count,
                     zone.unreachable,
+                    zone.all.count - std::min(zone.all.count, zone.reachable.count),
                     base::Duration::max()};
     for (const auto& [host, report] : zone.reports) {
       item.age = std::min(item.age, now - report.when);
--- a/libraries/dissemination/in_force_tracker.h
+++ b/libraries/dissemination/in_force_tracker.h
@@ -20,6 +20,7 @@
   std::uint64_t expected = 0;            ///< Nodes that the registry holds as reachable.
   std::uint64_t reported = 0;            ///< Nodes in the current reports.
   std::vector<std::string> unreachable;  ///< Nodes that are not waited for, by name.
+  std::uint64_t unreachable_count = 0;   ///< Above the number of names when these were cut short.
   base::Duration age{};                  ///< Time since the last report about the zone.
 };
 
@@ -38,6 +39,9 @@
   void SetExpected(const std::string& zone, const std::vector<std::string>& reachable,
                    std::vector<std::string> unreachable);
 
+  /** Sets the nodes of a zone of another region, as its registry told them. */
+  void SetExpected(const ExpectedNodes& expected);
+
   /** Takes the report of a control host about a zone; older ones are ignored. */
   void Report(const StatusUp& report, base::TimePoint now);
 
--- a/libraries/dissemination/tree_node.cc
+++ b/libraries/dissemination/tree_node.cc
@@ -1,7 +1,6 @@
 #include "libraries/dissemination/tree_node.h"
 
 #include <algorithm>
-#include <set>
 #include <tuple>
 #include <utility>
 
@@ -70,6 +69,16 @@
   }
 }
 
+void TreeNode::Leave() {
+  if (settings_.role == TreeRole::kNode) {
+    hooks_.send(parent_, Detach{settings_.node, incarnation_, ++sequence_});
+  }
+  for (const auto& [name, child] : children_) {
+    hooks_.send(name, StatusDown{settings_.node, child.sequence, number_, 0, 0, false, false});
+  }
+  children_.clear();
+}
+
 base::Duration TreeNode::root_age(base::TimePoint now) const {
   return settings_.role == TreeRole::kControlHost ? base::Duration::zero() : now - last_root_;
 }
@@ -82,12 +91,9 @@
     return;
   }
   const bool is_known = children_.contains(from);
-  StatusDown answer{settings_.node,
-                    status.sequence,
-                    number_,
-                    buffer_.oldest(),
-                    MillisecondsOf(root_age(now)),
-                    true};
+  StatusDown answer{
+      settings_.node, status.sequence, number_, buffer_.oldest(), MillisecondsOf(root_age(now)),
+      true,           is_cut_off_};
   // Two nodes with outdated positions may choose each other as parents.
   const bool is_refused = from != status.node || from == parent_ ||
                           (!is_known && children_.size() >= settings_.maximum_children);
@@ -146,6 +152,7 @@
     return;
   }
   is_attached_ = true;
+  is_cut_off_ = status.is_cut_off;
   if (status.answered >= awaited_) {
     awaited_ = 0;
   }
@@ -268,7 +275,7 @@
   } else if (notes.empty() && child.sent < number_) {
     // The child has to ask for a snapshot; this tells it at once that the notes are gone.
     hooks_.send(name, StatusDown{settings_.node, 0, number_, buffer_.oldest(),
-                                 MillisecondsOf(root_age(now)), true});
+                                 MillisecondsOf(root_age(now)), true, is_cut_off_});
   }
   child.next_feed = now + child.feed_interval;
   child.feed_interval = std::min(child.feed_interval * 2, settings_.maximum_resend);
@@ -285,7 +292,7 @@
 
 ZoneReport TreeNode::ReportOf(const std::string& zone) const {
   ZoneReport report;
-  if (settings_.role == TreeRole::kNode) {
+  if (zone == settings_.zone) {
     report.Add(settings_.node, number_);
   }
   for (const auto& [name, child] : children_) {
@@ -297,8 +304,8 @@
 }
 
 StatusUp TreeNode::MakeStatus() {
-  return StatusUp{settings_.node,  settings_.zone,          incarnation_, ++sequence_, number_,
-                  wants_snapshot_, ReportOf(settings_.zone)};
+  return StatusUp{settings_.node,  settings_.zone,           incarnation_,     ++sequence_, number_,
+                  wants_snapshot_, ReportOf(settings_.zone), settings_.address};
 }
 
 void TreeNode::SendStatus(const std::string& to, base::TimePoint now) {
@@ -320,12 +327,17 @@
 void TreeNode::SendHostReports(base::TimePoint now) {
   next_status_ = now + settings_.status_interval;
   dirty_since_.reset();
-  std::set<std::string> zones;
+  // A zone whose last child went elsewhere is reported as empty; otherwise the last report would
+  // count that child a second time until it expires.
   for (const auto& [name, child] : children_) {
-    zones.insert(child.zone);
+    reported_zones_.insert(child.zone);
   }
-  for (const std::string& zone : zones) {
+  if (!settings_.zone.empty()) {
+    reported_zones_.insert(settings_.zone);
+  }
+  for (const std::string& zone : reported_zones_) {
     StatusUp report = MakeStatus();
+    report.address.clear();
     report.zone = zone;
     report.report = ReportOf(zone);
     if (hooks_.on_report) {
@@ -346,9 +358,9 @@
   }
   if (now >= next_position_ ||
       (is_position_awaited_ && now - position_asked_ >= settings_.probe_timeout * 2)) {
-    if (is_position_awaited_) {
-      ++planner_;  // Another control host may plan now.
-    }
+    // The first control host that answers plans. Each regular request begins with the first one
+    // again, so that all nodes return to one plan after a failure.
+    planner_ = is_position_awaited_ ? planner_ + 1 : 0;
     RequestPosition(now);
   }
   if (now >= next_better_) {
--- a/libraries/dissemination/tree_node.h
+++ b/libraries/dissemination/tree_node.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -27,7 +28,8 @@
 /** Identity, intervals and bounds of a tree node. */
 struct TreeNodeSettings {
   std::string node;
-  std::string zone;
+  std::string zone;     ///< May be empty for a control host, which then does not count itself.
+  std::string address;  ///< Where parents reach this node, as IP:port.
   TreeRole role = TreeRole::kNode;
   std::vector<std::string> control_hosts;  ///< Of the region.
   std::vector<std::string> report_to;      ///< For a control host: the others, in all regions.
@@ -108,6 +110,15 @@
     TakeSnapshot(snapshot, now);
   }
 
+  /** Sets on a control host whether its region is cut off; the nodes below are told. */
+  void set_cut_off(bool is_cut_off) { is_cut_off_ = is_cut_off; }
+
+  /** @return Whether the control hosts of the region are cut off, as far as was told. */
+  bool is_cut_off() const { return is_cut_off_; }
+
+  /** Leaves the tree when the process ends: the parent and the children are told at once. */
+  void Leave();
+
   /** @return Number in force on this process. */
   std::uint64_t number() const { return number_; }
 
@@ -199,6 +210,8 @@
   std::size_t planner_ = 0;
   base::TimePoint next_better_;
   std::optional<base::TimePoint> dirty_since_;
+  bool is_cut_off_ = false;
+  std::set<std::string> reported_zones_;  // On a control host.
 };
 
 }  // namespace borageloft::dissemination
--- a/libraries/dissemination/tree_plan.cc
+++ b/libraries/dissemination/tree_plan.cc
@@ -80,7 +80,7 @@
   }
   const Place& place = found->second;
   const Slots& slots = zones_.at(place.zone);
-  Position position{place.version, {}};
+  Position position{place.version, {}, {}};
   std::optional<std::size_t> ancestor = ParentOf(place.slot);
   for (int level = 0; level < 2 && ancestor.has_value(); ++level) {
     position.candidates.push_back(slots[*ancestor]);
@@ -97,6 +97,11 @@
 
 Position TreePlan::Handle(const PositionRequest& request, base::TimePoint now) {
   Add(request.node, request.zone, now - std::chrono::seconds(request.age_s));
+  Place& place = places_.at(request.node);
+  if (place.version < request.version) {
+    version_ = std::max(version_, request.version) + 1;
+    place.version = version_;
+  }
   return *PositionOf(request.node);
 }
 
--- a/libraries/dissemination/tree_plan.h
+++ b/libraries/dissemination/tree_plan.h
@@ -47,7 +47,8 @@
   std::vector<std::pair<std::string, base::TimePoint>> SlotsOf(const std::string& zone) const;
 
   /**
-   * Answers a node's request; a node that is not known yet is added.
+   * Answers a node's request; a node that is not known yet is added. When the node has the position
+   * of another planner, the answer gets a higher version, so the planner that was asked last rules.
    * @return The node's position, also when it has not changed.
    */
   Position Handle(const PositionRequest& request, base::TimePoint now);
--- a/tests/dissemination/codec_test.cc
+++ b/tests/dissemination/codec_test.cc
@@ -17,11 +17,12 @@
   report.Add("node-2", 9);
   return {NoteMessage{{7, "digest", "[note]\nnumber = 7\n"}},
           SnapshotMessage{{400, "digest", std::string(300, 'x')}},
-          StatusUp{"node-1", "rec-a", 5, 17, 7, true, report},
-          StatusDown{"node-2", 17, 9, 3, 1200, true},
+          StatusUp{"node-1", "rec-a", 5, 17, 7, true, report, "10.0.0.7:7002"},
+          StatusDown{"node-2", 17, 9, 3, 1200, true, true},
           Detach{"node-1", 5, 18},
           PositionRequest{"node-1", "rec-a", 5, 3, 86'400},
-          Position{4, {"node-2", "node-3", "control-1"}}};
+          Position{4, {"node-2", "node-3", "control-1"}, {{"node-2", "10.0.0.8:7002"}}},
+          ExpectedNodes{"rec-a", {2, 77}, {3, 99}, {"node-3"}}};
 }
 
 // Guards against a field that is lost, or read in another order than it was written.
@@ -64,7 +65,9 @@
   EXPECT_NO_THROW(Decode(Encode(NoteMessage{{1, "d", std::string(kMaximumPayload, 'x')}})));
   EXPECT_THROW(Encode(NoteMessage{{1, "d", std::string(kMaximumPayload + 1, 'x')}}), Error);
   EXPECT_THROW(Encode(Detach{std::string(kMaximumText + 1, 'x'), 1, 1}), Error);
-  EXPECT_THROW(Encode(Position{1, std::vector<std::string>(kMaximumCandidates + 1, "n")}), Error);
+  const std::vector<std::string> names(kMaximumCandidates + 1, "n");
+  EXPECT_THROW(Encode(Position{1, names, {}}), Error);
+  EXPECT_THROW(Encode(ExpectedNodes{"z", {}, {}, names}), Error);
   EXPECT_THROW(Decode(std::string("\xdd\xff\xff\xff\xff", 5)), Error);
   EXPECT_THROW(Decode(std::string("\xc6\xff\xff\xff\xff", 5)), Error);
 }
--- a/tests/dissemination/tree_test.cc
+++ b/tests/dissemination/tree_test.cc
@@ -82,7 +82,7 @@
 }
 
 StatusUp HostReport(std::uint64_t sequence, const std::map<std::string, std::uint64_t>& numbers) {
-  StatusUp report{"c0", "z", 1, sequence, 0, false, {}};
+  StatusUp report{"c0", "z", 1, sequence, 0, false, {}, {}};
   for (const auto& [node, number] : numbers) {
     report.report.Add(node, number);
   }
