Node: Spread release notes through the tree

Nodes pulled release notes from the first control host twice a second, and no status told where a note is in force.

Its lock is now the first of the order: a note is saved and put in force while it is held, so notes take effect in order and a number is reported only once it is durable. The note table gets a rank of its own. The status of the operator interface lists the zones, the parent, the root age and whether the region is cut off. A node that is no control host refuses a note; it put the note in force on itself alone before.

--- a/libraries/base/ranked_mutex.h
+++ b/libraries/base/ranked_mutex.h
@@ -7,6 +7,7 @@
 
 /** Global lock order. A thread takes locks only in rising rank; each rank at most once. */
 enum class LockRank : int {
+  kDissemination = 5,  // First, since notes are put in force in order while it is held.
   kPolicy = 10,
   kMembership = 20,
   kRouting = 30,
@@ -14,7 +15,7 @@
   kRetry = 50,
   kLedger = 60,
   kConsensus = 70,
-  kDissemination = 75,
+  kNotes = 75,
   kStorage = 80,
   kTransport = 90,
   kTracing = 100,
--- a/libraries/node/membership_table.cc
+++ b/libraries/node/membership_table.cc
@@ -162,6 +162,14 @@
   return nodes;
 }
 
+bool MembershipTable::is_registry_settled() const {
+  if (registry_ == nullptr) {
+    return false;
+  }
+  const std::scoped_lock lock(registry_mutex_);
+  return registry_->is_settled(services_.clock());
+}
+
 void MembershipTable::Receive(const std::string& from, const std::string& payload) {
   const membership::Message message = membership::Decode(payload);
   const base::TimePoint now = services_.clock();
--- a/libraries/node/membership_table.h
+++ b/libraries/node/membership_table.h
@@ -54,6 +54,9 @@
   /** @return Nodes of this region with their zone and state; empty on other nodes. */
   std::vector<membership::RecordEntry> RegionNodes() const;
 
+  /** @return Whether this control host's registry had time to hear all nodes of the region. */
+  bool is_registry_settled() const;
+
  private:
   void Receive(const std::string& from, const std::string& payload);
   void HandleViewChange(const std::string& service);
--- a/libraries/node/node.cc
+++ b/libraries/node/node.cc
@@ -1,7 +1,5 @@
 #include "libraries/node/node.h"
 
-#include <fmt/format.h>
-
 #include <asio.hpp>
 #include <random>
 #include <thread>
@@ -12,6 +10,7 @@
 #include "libraries/node/attempt_loop.h"
 #include "libraries/node/call_sender.h"
 #include "libraries/node/control_channel.h"
+#include "libraries/node/dissemination_table.h"
 #include "libraries/node/inbound_calls.h"
 #include "libraries/node/membership_table.h"
 #include "libraries/node/node_http.h"
@@ -31,6 +30,8 @@
 // The gate drops late work and ends leases at this grain; deadlines are whole milliseconds.
 constexpr base::Duration kGateTick = milliseconds(2);
 constexpr base::Duration kMembershipTick = milliseconds(50);
+// Half the bound of the tree, since each level of it waits for a tick before it reports.
+constexpr base::Duration kDisseminationTick = milliseconds(25);
 constexpr base::Duration kRoutingTick = milliseconds(1000);
 constexpr base::Duration kDrainCheck = milliseconds(10);
 // Time for the other nodes to hear that this one leaves before its last connection is closed.
@@ -81,7 +82,7 @@
   void SubscribeTimers();
   void StartThreads();
   void StartServers();
-  void PullNotes();
+  DisseminationHooks MakeDisseminationHooks();
   metrics::NodeGauges Gauges() const;
   bool Drain();
   void Stop();
@@ -106,6 +107,7 @@
   NodeEndpoints endpoints;
   std::unique_ptr<MembershipTable> members;
   std::unique_ptr<NoteTable> note_table;
+  std::unique_ptr<DisseminationTable> dissemination;
   CallSender sender;
   AttemptLoop attempts;
   RequestEntry entry;
@@ -161,8 +163,10 @@
   policies.AddListener([this](const notes::Policy& policy) { gate.ApplyPolicy(policy); });
   note_table = std::make_unique<NoteTable>(
       note_log::NoteStorage{[] { return std::nullopt; }, [](const std::string&) {}}, policies);
-  PullNotes();
-  operator_api = std::make_unique<OperatorApi>(services, *note_table, *members, gate);
+  dissemination = std::make_unique<DisseminationTable>(
+      services, incarnation.current(), endpoints.peers, *note_table, MakeDisseminationHooks());
+  operator_api =
+      std::make_unique<OperatorApi>(services, *note_table, *dissemination, *members, gate);
   SubscribeTimers();
   StartThreads();
   StartServers();
@@ -206,29 +210,31 @@
   return hooks;
 }
 
-// Nodes ask a control host for newer notes.
-void Node::State::PullNotes() {
-  channel.Handle(wire::Channel::kNotes, [this](const std::string& from,
-                                               const std::string& payload) {
-    if (payload.starts_with("since ")) {
-      channel.Send(from, wire::Channel::kNotes,
-                   note_log::EncodeDelta(note_table->DeltaSince(std::stoull(payload.substr(6)))));
-    } else {
-      note_table->Offer(note_log::DecodeDelta(payload));
-    }
-  });
+DisseminationHooks Node::State::MakeDisseminationHooks() {
+  channel.Handle(wire::Channel::kDissemination,
+                 [this](const std::string& from, const std::string& payload) {
+                   dissemination->Receive(from, payload);
+                 });
+  DisseminationHooks hooks;
+  hooks.send = [this](const std::string& to, std::string payload) {
+    channel.Send(to, wire::Channel::kDissemination, std::move(payload));
+  };
+  hooks.learn = [this](const std::string& node, const settings::Endpoint& endpoint) {
+    channel.Learn(node, endpoint);
+  };
+  hooks.view_region = [this] {
+    return RegionView{members->RegionNodes(), members->is_registry_settled()};
+  };
+  return hooks;
 }
 
 void Node::State::SubscribeTimers() {
   timers.SubscribeEvery(kGateTick, [this](base::TimePoint) { gate.Tick(); });
   timers.SubscribeEvery(kMembershipTick, [this](base::TimePoint) { members->Tick(); });
+  timers.SubscribeEvery(kDisseminationTick, [this](base::TimePoint) { dissemination->Tick(); });
   timers.SubscribeEvery(kRoutingTick, [this](base::TimePoint) { routes.Expire(); });
   timers.SubscribeEvery(settings.transport.ping_interval,
                         [this](base::TimePoint) { transport.CheckHeartbeats(); });
-  timers.SubscribeEvery(milliseconds(500), [this](base::TimePoint) {
-    channel.Send(settings.control_peers.front().node, wire::Channel::kNotes,
-                 fmt::format("since {}", note_table->number()));
-  });
 }
 
 void Node::State::StartThreads() {
@@ -271,6 +277,7 @@
   }
   const bool is_drained = gate.is_idle() && entry.in_progress() == 0;
   members->SetNodeState(membership::NodeState::kStopped);
+  dissemination->Leave();
   std::this_thread::sleep_for(kFarewell);
   return is_drained;
 }
--- a/libraries/node/note_table.cc
+++ b/libraries/node/note_table.cc
@@ -5,13 +5,6 @@
 
 namespace borageloft::node {
 
-namespace {
-
-// Notes are small; this bounds one message when a holder is far behind.
-constexpr std::size_t kMaximumDeltaBytes = 512 * 1024;
-
-}  // namespace
-
 note_log::FoldHook FoldIntoPolicy() {
   return [](const std::string& policy, const std::string& note) {
     return notes::FormatPolicy(notes::ApplyNote(notes::ParsePolicy(policy), note, "note"));
@@ -48,26 +41,9 @@
   return notes_.number();
 }
 
-note_log::NoteDelta NoteTable::DeltaSince(note_log::NoteNumber since) const {
+note_log::PolicyChain NoteTable::chain() const {
   const std::scoped_lock lock(mutex_);
-  note_log::NoteDelta delta;
-  delta.latest = notes_.number();
-  if (since < notes_.chain().base_number()) {
-    delta.snapshot = notes_.chain();
-    return delta;
-  }
-  std::size_t bytes = 0;
-  for (const note_log::Note& note : notes_.chain().notes()) {
-    if (note.number <= since) {
-      continue;
-    }
-    bytes += note.text.size();
-    if (!delta.notes.empty() && bytes > kMaximumDeltaBytes) {
-      break;
-    }
-    delta.notes.push_back(note);
-  }
-  return delta;
+  return notes_.chain();
 }
 
 std::optional<note_log::Note> NoteTable::Find(note_log::NoteNumber number) const {
@@ -80,13 +56,8 @@
 }
 
 void NoteTable::PutInForce() {
-  note_log::PolicyChain chain;
-  {
-    const std::scoped_lock lock(mutex_);
-    chain = notes_.chain();
-  }
   // The policy table ignores a policy that another thread has overtaken.
-  policies_.Replace(PolicyOf(chain));
+  policies_.Replace(PolicyOf(chain()));
 }
 
 }  // namespace borageloft::node
--- a/libraries/node/note_table.h
+++ b/libraries/node/note_table.h
@@ -27,8 +27,8 @@
   /** @return Number of the note in force, or 0. */
   note_log::NoteNumber number() const;
 
-  /** @return What a holder of note @p since needs to move forward. */
-  note_log::NoteDelta DeltaSince(note_log::NoteNumber since) const;
+  /** @return The notes in force. */
+  note_log::PolicyChain chain() const;
 
   /** @return The note of this number, if its text is still kept. */
   std::optional<note_log::Note> Find(note_log::NoteNumber number) const;
@@ -37,7 +37,7 @@
   void PutInForce();
 
   PolicyTable& policies_;
-  mutable base::RankedMutex mutex_{base::LockRank::kDissemination};
+  mutable base::RankedMutex mutex_{base::LockRank::kNotes};
   note_log::ForwardOnlyNote notes_;
 };
 
--- a/libraries/node/operator_api.cc
+++ b/libraries/node/operator_api.cc
@@ -1,13 +1,17 @@
 #include "libraries/node/operator_api.h"
 
-#include <fmt/format.h>
+#include <fmt/ranges.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace borageloft::node {
 
 namespace {
 
+// Unreachable nodes that a zone's row names; the count tells of the others.
+constexpr std::size_t kShownNames = 8;
+
 std::string RequireText(const Json::Value& parameters, const char* name) {
   if (!parameters[name].isString()) {
     throw base::Error(fmt::format("parameter {} must be a string", name));
@@ -65,11 +69,47 @@
   return row;
 }
 
+Json::Value DescribeZone(const ZoneInForce& zone) {
+  Json::Value row;
+  row["zone"] = zone.zone;
+  row["nodes"] = Json::UInt64(zone.nodes);
+  row["lowest_number"] = Json::UInt64(zone.lowest_number);
+  std::string unreachable = std::to_string(zone.unreachable);
+  if (!zone.missing.empty()) {
+    const std::size_t shown = std::min(zone.missing.size(), kShownNames);
+    unreachable +=
+        fmt::format(" ({}{})",
+                    fmt::join(zone.missing.begin(),
+                              zone.missing.begin() + static_cast<std::ptrdiff_t>(shown), ", "),
+                    zone.unreachable > shown ? ", ..." : "");
+  }
+  row["unreachable"] = unreachable;
+  if (zone.age != base::Duration::max()) {
+    row["age_ms"] = ToMilliseconds(zone.age);
+  }
+  return row;
+}
+
+void DescribeTree(const DisseminationStatus& tree, Json::Value& status) {
+  status["parent"] = tree.parent;
+  status["root_age_ms"] = ToMilliseconds(tree.root_age);
+  status["is_cut_off"] = tree.is_cut_off;
+  status["zones"] = Json::Value(Json::arrayValue);
+  for (const ZoneInForce& zone : tree.zones) {
+    status["zones"].append(DescribeZone(zone));
+  }
+}
+
 }  // namespace
 
-OperatorApi::OperatorApi(const NodeServices& services, NoteTable& notes, MembershipTable& members,
+OperatorApi::OperatorApi(const NodeServices& services, NoteTable& notes,
+                         DisseminationTable& dissemination, MembershipTable& members,
                          UpstreamGate& gate)
-    : services_(services), notes_(notes), members_(members), gate_(gate) {}
+    : services_(services),
+      notes_(notes),
+      dissemination_(dissemination),
+      members_(members),
+      gate_(gate) {}
 
 std::map<std::string, control_rpc::RpcMethod> OperatorApi::Methods() {
   return {
@@ -90,13 +130,17 @@
 }
 
 Json::Value OperatorApi::SubmitNote(const Json::Value& parameters) {
+  if (!services_.settings.is_control_host()) {
+    throw base::Error(fmt::format("this node is no control host; submit the note to {}",
+                                  services_.settings.control_peers.front().node));
+  }
   const std::string text = RequireText(parameters, "text");
   const auto note = notes::ReleaseNote::Parse(text, RequireText(parameters, "file"));
   notes::ApplyNote(*services_.policies.current(), text, note.file());
-  note_log::NoteDelta delta;
-  delta.latest = note.number();
-  delta.notes.push_back({note.number(), note.author(), note.digest(), text});
-  notes_.Offer(delta);
+  dissemination_.Accept({note.number(), note.author(), note.digest(), text});
+  if (notes_.number() < note.number()) {
+    throw base::Error(fmt::format("note {} could not be put in force here", note.number()));
+  }
   Json::Value result;
   result["result"] = "accepted";
   return result;
@@ -148,7 +192,7 @@
       gate.admission.level.is_open()
           ? "open"
           : fmt::format("{}/{}", gate.admission.level.rank(), gate.admission.level.share());
-  status["zones"] = Json::Value(Json::arrayValue);
+  DescribeTree(dissemination_.status(), status);
   return status;
 }
 
--- a/libraries/node/operator_api.h
+++ b/libraries/node/operator_api.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "libraries/control_rpc/control_rpc.h"
+#include "libraries/node/dissemination_table.h"
 #include "libraries/node/membership_table.h"
 #include "libraries/node/node_services.h"
 #include "libraries/node/note_table.h"
@@ -15,8 +16,8 @@
 /** Carries out the operator's calls to this node. */
 class OperatorApi {
  public:
-  OperatorApi(const NodeServices& services, NoteTable& notes, MembershipTable& members,
-              UpstreamGate& gate);
+  OperatorApi(const NodeServices& services, NoteTable& notes, DisseminationTable& dissemination,
+              MembershipTable& members, UpstreamGate& gate);
 
   /** @return The methods by name, for the RPC server. */
   std::map<std::string, control_rpc::RpcMethod> Methods();
@@ -32,6 +33,7 @@
 
   const NodeServices& services_;
   NoteTable& notes_;
+  DisseminationTable& dissemination_;
   MembershipTable& members_;
   UpstreamGate& gate_;
 };
--- a/libraries/node/policy_table.h
+++ b/libraries/node/policy_table.h
@@ -13,7 +13,10 @@
 /** The policy in force on this node. Thread-safe; a policy that was handed out never changes. */
 class PolicyTable {
  public:
-  /** Runs after a policy came into force, with no lock held. */
+  /**
+   * Runs after a policy came into force. Of all locks only the one of the dissemination table may
+   * be held, so a listener must not call that table.
+   */
   using Listener = std::function<void(const notes::Policy& policy)>;
 
   PolicyTable();
--- a/utilities/borageloft/note_commands.cc
+++ b/utilities/borageloft/note_commands.cc
@@ -40,13 +40,19 @@
              note.changes().size(), note.digest(), asks_node ? " against the policy in force" : "");
 }
 
+// A zone without reachable nodes is shown and not waited for.
 bool IsInForceEverywhere(const Json::Value& zones, std::uint64_t number) {
+  bool has_nodes = false;
   for (const Json::Value& zone : zones) {
+    if (zone["nodes"].asUInt64() == 0) {
+      continue;
+    }
+    has_nodes = true;
     if (zone["lowest_number"].asUInt64() < number) {
       return false;
     }
   }
-  return !zones.empty();
+  return has_nodes;
 }
 
 int WaitForZones(const NoteOptions& options, std::uint64_t number) {
--- a/utilities/borageloft/status_commands.cc
+++ b/utilities/borageloft/status_commands.cc
@@ -24,9 +24,10 @@
     PrintJson(status);
     return;
   }
-  for (const char* member : {"node", "region", "zone", "note_number", "view_age_ms", "control_role",
-                             "control_leader", "control_members", "is_cut_off", "upstream_state",
-                             "slots", "limit", "in_flight", "queued", "level"}) {
+  for (const char* member :
+       {"node", "region", "zone", "note_number", "view_age_ms", "control_role", "control_leader",
+        "control_members", "is_cut_off", "parent", "root_age_ms", "upstream_state", "slots",
+        "limit", "in_flight", "queued", "level"}) {
     if (status.isMember(member)) {
       fmt::print(
           "{:<16} {}\n", member,
