--- a/libraries/node/node.cc
+++ b/libraries/node/node.cc
@@ -1,7 +1,5 @@
 #include "libraries/node/node.h"
 
-#include <fmt/format.h>
-
 #include <asio.hpp>
 #include <fstream>
 #include <iterator>
@@ -15,6 +13,7 @@
 #include "libraries/node/attempt_loop.h"
 #include "libraries/node/call_sender.h"
 #include "libraries/node/control_channel.h"
+#include "libraries/node/dissemination_table.h"
 #include "libraries/node/group_client.h"
 #include "libraries/node/group_hub.h"
 #include "libraries/node/inbound_calls.h"
@@ -38,6 +37,8 @@
 constexpr base::Duration kGateTick = milliseconds(2);
 constexpr base::Duration kMembershipTick = milliseconds(50);
 constexpr base::Duration kControlTick = milliseconds(10);
+// Half the bound of the tree, since each level of it waits for a tick before it reports.
+constexpr base::Duration kDisseminationTick = milliseconds(25);
 constexpr base::Duration kRoutingTick = milliseconds(1000);
 constexpr base::Duration kDrainCheck = milliseconds(10);
 // Time for the other nodes to hear that this one leaves before its last connection is closed.
@@ -114,8 +115,8 @@
   void SubscribeTimers();
   void StartThreads();
   void StartServers();
-  void PullNotes();
   void StartControl();
+  DisseminationHooks MakeDisseminationHooks();
   metrics::NodeGauges Gauges() const;
   bool Drain();
   void Stop();
@@ -142,6 +143,7 @@
   const storage::FileSystem file_system = storage::PosixFileSystem();
   std::unique_ptr<storage::DataFolder> folder;  // Null on a host without a data folder.
   std::unique_ptr<NoteTable> note_table;
+  std::unique_ptr<DisseminationTable> dissemination;
   GroupHub group_hub;
   GroupClient note_client;
   std::unique_ptr<NoteControl> note_control;  // Null on a node that is no control host.
@@ -205,10 +207,12 @@
       std::make_unique<MembershipTable>(services, incarnation, endpoints.peers, channel, routes);
   policies.AddListener([this](const notes::Policy& policy) { gate.ApplyPolicy(policy); });
   note_table = std::make_unique<NoteTable>(MakeNoteStorage(folder.get()), policies);
-  PullNotes();
+  dissemination = std::make_unique<DisseminationTable>(
+      services, incarnation.current(), endpoints.peers, *note_table, MakeDisseminationHooks());
   StartControl();
-  operator_api = std::make_unique<OperatorApi>(services, *note_table, note_client,
-                                               note_control.get(), *members, gate);
+  operator_api = std::make_unique<OperatorApi>(
+      services, OperatorApi::Parts{*note_table, note_client, note_control.get(), *dissemination,
+                                   *members, gate});
   SubscribeTimers();
   StartThreads();
   StartServers();
@@ -259,22 +263,29 @@
     return;
   }
   note_control = std::make_unique<NoteControl>(
-      services, *folder, group_hub, ControlHostsOf(settings), *note_table,
-      NoteControl::Listener{[](const note_log::Note&) {}, [] {}});
+      services, *folder, group_hub, ControlHostsOf(settings),
+      NoteControl::Listener{
+          [this](const note_log::Note& note) { dissemination->Accept(note); },
+          [this](const note_log::PolicyChain& chain) { dissemination->AcceptSnapshot(chain); }});
   note_control->Start();
 }
 
-// Nodes ask a control host for newer notes.
-void Node::State::PullNotes() {
-  channel.Handle(wire::Channel::kNotes, [this](const std::string& from,
-                                               const std::string& payload) {
-    if (payload.starts_with("since ")) {
-      channel.Send(from, wire::Channel::kNotes,
-                   note_log::EncodeDelta(note_table->DeltaSince(std::stoull(payload.substr(6)))));
-    } else {
-      note_table->Offer(note_log::DecodeDelta(payload));
-    }
-  });
+DisseminationHooks Node::State::MakeDisseminationHooks() {
+  channel.Handle(wire::Channel::kDissemination,
+                 [this](const std::string& from, const std::string& payload) {
+                   dissemination->Receive(from, payload);
+                 });
+  DisseminationHooks hooks;
+  hooks.send = [this](const std::string& to, std::string payload) {
+    channel.Send(to, wire::Channel::kDissemination, std::move(payload));
+  };
+  hooks.learn = [this](const std::string& node, const settings::Endpoint& endpoint) {
+    channel.Learn(node, endpoint);
+  };
+  hooks.view_region = [this] {
+    return RegionView{members->RegionNodes(), members->is_registry_settled()};
+  };
+  return hooks;
 }
 
 void Node::State::SubscribeTimers() {
@@ -286,13 +297,10 @@
       note_control->Tick();
     }
   });
+  timers.SubscribeEvery(kDisseminationTick, [this](base::TimePoint) { dissemination->Tick(); });
   timers.SubscribeEvery(kRoutingTick, [this](base::TimePoint) { routes.Expire(); });
   timers.SubscribeEvery(settings.transport.ping_interval,
                         [this](base::TimePoint) { transport.CheckHeartbeats(); });
-  timers.SubscribeEvery(milliseconds(500), [this](base::TimePoint) {
-    channel.Send(settings.control_peers.front().node, wire::Channel::kNotes,
-                 fmt::format("since {}", note_table->number()));
-  });
 }
 
 void Node::State::StartThreads() {
@@ -335,6 +343,7 @@
   }
   const bool is_drained = gate.is_idle() && entry.in_progress() == 0;
   members->SetNodeState(membership::NodeState::kStopped);
+  dissemination->Leave();
   std::this_thread::sleep_for(kFarewell);
   return is_drained;
 }
--- a/libraries/node/note_control.cc
+++ b/libraries/node/note_control.cc
@@ -41,9 +41,8 @@
 }
 
 NoteControl::NoteControl(const NodeServices& services, const storage::DataFolder& folder,
-                         GroupHub& hub, std::vector<std::string> hosts, NoteTable& notes,
-                         Listener listener)
-    : notes_(notes), listener_(std::move(listener)), state_(MakeOptions()) {
+                         GroupHub& hub, std::vector<std::string> hosts, Listener listener)
+    : listener_(std::move(listener)), state_(MakeOptions()) {
   replication::StateMachine machine;
   machine.apply = [this](consensus::Index, const std::string& command) { return Apply(command); };
   machine.snapshot = [this] { return TakeSnapshot(); };
@@ -65,12 +64,7 @@
     outcome = state_.ApplyEncoded(command);
   }
   if (outcome.kind == note_log::NoteOutcomeKind::kAccepted) {
-    note_log::Note note = note_log::DecodeNote(command);
-    note_log::NoteDelta delta;
-    delta.latest = note.number;
-    delta.notes.push_back(note);
-    notes_.Offer(delta);
-    listener_.accepted(note);
+    listener_.accepted(note_log::DecodeNote(command));
   }
   return note_log::EncodeOutcome(outcome);
 }
@@ -81,7 +75,7 @@
 }
 
 void NoteControl::Restore(const std::string& data) {
-  note_log::NoteDelta delta;
+  note_log::PolicyChain chain;
   {
     const std::scoped_lock lock(mutex_);
     if (data.empty()) {
@@ -91,11 +85,9 @@
     note_log::NoteLogState restored(MakeOptions());
     restored.Restore(data);
     state_ = std::move(restored);
-    delta.snapshot = state_.chain();
-    delta.latest = state_.latest();
+    chain = state_.chain();
   }
-  notes_.Offer(delta);
-  listener_.replaced();
+  listener_.replaced(chain);
 }
 
 }  // namespace borageloft::node
--- a/libraries/node/note_control.h
+++ b/libraries/node/note_control.h
@@ -22,12 +22,13 @@
   /** Told of what the quorum accepted, with no lock held, in order. */
   struct Listener {
     std::function<void(const note_log::Note& note)> accepted;
-    std::function<void()> replaced;  // A snapshot took the place of all earlier notes.
+    /// A snapshot took the place of all earlier notes.
+    std::function<void(const note_log::PolicyChain& chain)> replaced;
   };
 
   /** @param hosts All control hosts, this one included. */
   NoteControl(const NodeServices& services, const storage::DataFolder& folder, GroupHub& hub,
-              std::vector<std::string> hosts, NoteTable& notes, Listener listener);
+              std::vector<std::string> hosts, Listener listener);
 
   /** Takes part in the group. */
   void Start() { group_->Start(); }
@@ -45,7 +46,6 @@
   std::string TakeSnapshot() const;
   void Restore(const std::string& data);
 
-  NoteTable& notes_;
   const Listener listener_;
   mutable base::RankedMutex mutex_{base::LockRank::kDissemination};
   note_log::NoteLogState state_;
--- a/libraries/node/operator_api.cc
+++ b/libraries/node/operator_api.cc
@@ -1,7 +1,8 @@
 #include "libraries/node/operator_api.h"
 
-#include <fmt/format.h>
+#include <fmt/ranges.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace borageloft::node {
@@ -10,6 +11,8 @@
 
 constexpr base::Duration kSubmitTimeout = std::chrono::seconds(5);
 constexpr std::size_t kHistoryLength = 1000;
+// Unreachable nodes that a zone's row names; the count tells of the others.
+constexpr std::size_t kShownNames = 8;
 
 std::string RequireText(const Json::Value& parameters, const char* name) {
   if (!parameters[name].isString()) {
@@ -113,17 +116,47 @@
   return row;
 }
 
+Json::Value DescribeZone(const ZoneInForce& zone) {
+  Json::Value row;
+  row["zone"] = zone.zone;
+  row["nodes"] = Json::UInt64(zone.nodes);
+  row["lowest_number"] = Json::UInt64(zone.lowest_number);
+  std::string unreachable = std::to_string(zone.unreachable);
+  if (!zone.missing.empty()) {
+    const std::size_t shown = std::min(zone.missing.size(), kShownNames);
+    unreachable +=
+        fmt::format(" ({}{})",
+                    fmt::join(zone.missing.begin(),
+                              zone.missing.begin() + static_cast<std::ptrdiff_t>(shown), ", "),
+                    zone.unreachable > shown ? ", ..." : "");
+  }
+  row["unreachable"] = unreachable;
+  if (zone.age != base::Duration::max()) {
+    row["age_ms"] = ToMilliseconds(zone.age);
+  }
+  return row;
+}
+
+void DescribeTree(const DisseminationStatus& tree, Json::Value& status) {
+  status["parent"] = tree.parent;
+  status["root_age_ms"] = ToMilliseconds(tree.root_age);
+  status["is_cut_off"] = tree.is_cut_off;
+  status["zones"] = Json::Value(Json::arrayValue);
+  for (const ZoneInForce& zone : tree.zones) {
+    status["zones"].append(DescribeZone(zone));
+  }
+}
+
 }  // namespace
 
-OperatorApi::OperatorApi(const NodeServices& services, NoteTable& notes, GroupClient& note_client,
-                         const NoteControl* note_control, MembershipTable& members,
-                         UpstreamGate& gate)
+OperatorApi::OperatorApi(const NodeServices& services, const Parts& parts)
     : services_(services),
-      notes_(notes),
-      note_client_(note_client),
-      note_control_(note_control),
-      members_(members),
-      gate_(gate) {}
+      notes_(parts.notes),
+      note_client_(parts.note_client),
+      note_control_(parts.note_control),
+      dissemination_(parts.dissemination),
+      members_(parts.members),
+      gate_(parts.gate) {}
 
 std::map<std::string, control_rpc::RpcMethod> OperatorApi::Methods() {
   return {
@@ -216,7 +249,7 @@
       gate.admission.level.is_open()
           ? "open"
           : fmt::format("{}/{}", gate.admission.level.rank(), gate.admission.level.share());
-  status["zones"] = Json::Value(Json::arrayValue);
+  DescribeTree(dissemination_.status(), status);
   AddControlStatus(status);
   return status;
 }
--- a/libraries/node/operator_api.h
+++ b/libraries/node/operator_api.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "libraries/control_rpc/control_rpc.h"
+#include "libraries/node/dissemination_table.h"
 #include "libraries/node/group_client.h"
 #include "libraries/node/membership_table.h"
 #include "libraries/node/node_services.h"
@@ -17,12 +18,17 @@
 /** Carries out the operator's calls to this node. */
 class OperatorApi {
  public:
-  /**
-   * @param note_client Reaches the group of release notes.
-   * @param note_control Member of that group; null on a node that is no control host.
-   */
-  OperatorApi(const NodeServices& services, NoteTable& notes, GroupClient& note_client,
-              const NoteControl* note_control, MembershipTable& members, UpstreamGate& gate);
+  /** What the calls are carried out on. */
+  struct Parts {
+    NoteTable& notes;
+    GroupClient& note_client;         // Reaches the group of release notes.
+    const NoteControl* note_control;  // Null on a node that is no control host.
+    DisseminationTable& dissemination;
+    MembershipTable& members;
+    UpstreamGate& gate;
+  };
+
+  OperatorApi(const NodeServices& services, const Parts& parts);
 
   /** @return The methods by name, for the RPC server. */
   std::map<std::string, control_rpc::RpcMethod> Methods();
@@ -42,6 +48,7 @@
   NoteTable& notes_;
   GroupClient& note_client_;
   const NoteControl* note_control_;
+  DisseminationTable& dissemination_;
   MembershipTable& members_;
   UpstreamGate& gate_;
 };
