--- a/tests/decisions/random_run_test.cc
+++ b/tests/decisions/random_run_test.cc
@@ -99,7 +99,7 @@
   });
   const std::uint64_t first_seed = FromEnvironment("DECISIONS_SEED", 1);
   const std::uint64_t seeds = FromEnvironment("DECISIONS_SEEDS", 20);
-  const std::uint64_t steps = FromEnvironment("DECISIONS_STEPS", 50'000);
+  const std::uint64_t steps = FromEnvironment("DECISIONS_STEPS", 100'000);
   std::uint64_t total = 0;
   for (std::uint64_t seed = first_seed; seed < first_seed + seeds; ++seed) {
     RandomRun run(seed);
