Node: Refuse for load at the root only

Cause: a call of a request that was already begun was refused at its entry by the level map, which wastes the work done; the gate's own rule is that only depth 0 is shed by level. Change: CheckLoad at depth 0 only.

--- a/libraries/node/request_entry.cc
+++ b/libraries/node/request_entry.cc
@@ -120,8 +120,12 @@
   if (!services_.settings.has_controls) {
     return std::nullopt;
   }
-  if (auto problem = CheckLoad(entry)) {
-    return problem;
+  // Only a root is refused for load on its way. Work that was begun is finished; refusing its calls
+  // would waste what was done.
+  if (entry.request.context.depth == 0) {
+    if (auto problem = CheckLoad(entry)) {
+      return problem;
+    }
   }
   return caller == CallerKind::kOutside ? CheckRepeats(request, entry) : std::nullopt;
 }
