--- a/libraries/settings/node_settings.cc
+++ b/libraries/settings/node_settings.cc
@@ -171,8 +171,6 @@
 
   void ReadRequests() {
     ValueParser parser = Section("requests");
-    settings_.default_timeout =
-        parser.Time("default_timeout", settings_.default_timeout, milliseconds(1), seconds(600));
     settings_.drain_timeout =
         parser.Time("drain_timeout", settings_.drain_timeout, milliseconds(0), seconds(3600));
     settings_.has_controls = parser.Choice("controls", "on", {"on", "off"}) == "on";
--- a/libraries/settings/node_settings.h
+++ b/libraries/settings/node_settings.h
@@ -53,7 +53,6 @@
   std::string data_folder;
   LimitSettings limits;
   TransportSettings transport;
-  base::Duration default_timeout = std::chrono::seconds(1);
   base::Duration drain_timeout = std::chrono::seconds(30);
   std::string span_file;
   double span_share = 0.01;
