--- a/tests/dissemination/tree_test.cc
+++ b/tests/dissemination/tree_test.cc
@@ -67,11 +67,21 @@
   }
 }
 
+// Guards against a node that keeps the position of a planner that is gone, since it is newer.
+TEST(TreePlanTest, OverridesThePositionOfAnotherPlanner) {
+  TreePlan plan(PlanSettings(), 1);
+  const std::uint64_t foreign = std::uint64_t{2} << 32U;
+  const Position answer = plan.Handle({"n0", "z", 1, foreign, 0}, base::TimePoint());
+  EXPECT_GT(answer.version, foreign);
+  EXPECT_EQ(plan.Handle({"n0", "z", 1, answer.version, 0}, base::TimePoint()).version,
+            answer.version);
+}
+
 // Guards against a report that overstates a number when it has more of them than buckets.
 TEST(ZoneReportTest, UnderstatesWhenThereAreTooManyNumbers) {
   ZoneReport report;
   for (int index = 0; index < 50; ++index) {
-    report.Add(NameOf(index), static_cast<std::uint64_t>(100 + index));
+    report.Add(NameOf(index), 100 + static_cast<std::uint64_t>(index));
   }
   EXPECT_EQ(report.buckets().size(), kMaximumBuckets);
   EXPECT_EQ(report.lowest(), 100U);
@@ -121,6 +131,64 @@
   EXPECT_EQ(tracker.Status(now).front().unreachable, std::vector<std::string>{"c"});
 }
 
+/** A tree node alone, with what it sent and reported. */
+struct SingleNode {
+  explicit SingleNode(TreeRole role) {
+    TreeNodeSettings settings;
+    settings.node = "me";
+    settings.zone = role == TreeRole::kNode ? "z" : "";
+    settings.role = role;
+    settings.control_hosts = {"c0"};
+    TreeNodeHooks hooks;
+    hooks.send = [this](const std::string& to, const Message& message) {
+      sent.emplace_back(to, message);
+    };
+    hooks.random = base::SeededRandom(1);
+    hooks.on_report = [this](const StatusUp& report, base::TimePoint) {
+      reports.push_back(report);
+    };
+    tree = std::make_unique<TreeNode>(settings, hooks, 1, 0, now);
+  }
+
+  base::TimePoint now = base::TimePoint() + std::chrono::hours(1);
+  std::vector<std::pair<std::string, Message>> sent;
+  std::vector<StatusUp> reports;
+  std::unique_ptr<TreeNode> tree;
+};
+
+StatusUp ChildStatus() {
+  StatusUp status{"child", "z", 1, 1, 0, false, {}, {}};
+  status.report.Add("child", 0);
+  return status;
+}
+
+// Guards against a child that is counted twice until the last report of its former host expires.
+TEST(TreeNodeTest, AControlHostReportsThatTheLastChildOfAZoneLeft) {
+  SingleNode host(TreeRole::kControlHost);
+  host.tree->Receive("child", ChildStatus(), host.now);
+  host.tree->Tick(host.now);
+  ASSERT_EQ(host.reports.size(), 1U);
+  EXPECT_EQ(host.reports[0].report.nodes().count, 1U);
+  host.tree->Receive("child", Detach{"child", 1, 2}, host.now);
+  host.tree->Tick(host.now + milliseconds(50));
+  ASSERT_EQ(host.reports.size(), 2U);
+  EXPECT_EQ(host.reports[1].zone, "z");
+  EXPECT_EQ(host.reports[1].report.nodes().count, 0U);
+}
+
+// Guards against a graceful end that parent and children notice only by silence.
+TEST(TreeNodeTest, ANodeThatEndsTellsParentAndChildren) {
+  SingleNode node(TreeRole::kNode);
+  node.tree->Receive("child", ChildStatus(), node.now);
+  node.sent.clear();
+  node.tree->Leave();
+  ASSERT_EQ(node.sent.size(), 2U);
+  EXPECT_EQ(node.sent[0].first, "c0");
+  EXPECT_TRUE(std::holds_alternative<Detach>(node.sent[0].second));
+  EXPECT_EQ(node.sent[1].first, "child");
+  EXPECT_FALSE(std::get<StatusDown>(node.sent[1].second).is_accepted);
+}
+
 // Guards against a region that stays behind after an hour alone with hundreds of notes meanwhile.
 TEST(TreeNodeTest, ARegionCatchesUpAfterAnHourAlone) {
   WorldSize size;
