HTTP: Refuse to listen on a port in use

Cause: cpp-httplib sets SO_REUSEPORT, so a second node on the same port started without an error and the system gave each of the two a part of the calls. Change: the server sets SO_REUSEADDR only. A test starts a second server on a used port.

--- a/libraries/http/http_server.cc
+++ b/libraries/http/http_server.cc
@@ -218,6 +218,11 @@
   state.server.new_task_queue = [&state] {
     return new ElasticTaskQueue(state.options.connections);
   };
+  // cpp-httplib's default lets two processes listen on one port, and each gets a part of the calls.
+  state.server.set_socket_options([](socket_t socket) {
+    const int is_on = 1;
+    ::setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &is_on, sizeof(is_on));
+  });
   state.server.set_tcp_nodelay(true);
   state.server.set_payload_max_length(options.body_bytes);
   // Only for the Keep-Alive header of answers: BoundedServer itself sets no bound of requests.
--- a/tests/http/http_test.cc
+++ b/tests/http/http_test.cc
@@ -158,6 +158,14 @@
   caller.join();
 }
 
+// Guards against two nodes that share a port unnoticed and each get a part of the requests.
+TEST(HttpServerTest, RefusesAPortInUse) {
+  HttpServer first({}, Echo);
+  const auto endpoint = first.Start(kAnyPort);
+  HttpServer second({}, Echo);
+  EXPECT_THROW(second.Start(endpoint), HttpError);
+}
+
 // Guards R3: bodies, ranges and encodings are the caller's and the upstream's business. A server
 // that interprets them loses multipart bodies, cuts answers twice or compresses them twice.
 TEST(HttpServerTest, PassesBodiesAndAnswersOnUnchanged) {
