Transport: Answer when an answer fits no frame and keep cancelled streams

Cause: (1) An answer that could not be encoded was dropped, and its caller waited for the deadline. (2) A cancelled request gave up its stream at once, so that a faulty peer could reuse it while the first answer was still to come; the node then failed a check and ended. (3) Stop() closed the acceptor on one thread while another one used it. Change: such an answer is replaced by answer_too_large with an unknown outcome; a stream stays taken until its answer; the acceptor has a strand.

--- a/libraries/transport/connection.cc
+++ b/libraries/transport/connection.cc
@@ -84,14 +84,35 @@
   asio::post(socket_.get_executor(),
              [self = shared_from_this(), response = std::move(response)]() mutable {
                // A stream that was cancelled or answered takes no further answer.
-               if (self->inbound_.erase(response.stream) == 0) {
+               const auto found = self->inbound_.find(response.stream);
+               if (found == self->inbound_.end()) {
                  return;
                }
-               response.generation = self->generation_;
-               self->Enqueue(response);
+               const InboundState state = found->second;
+               self->inbound_.erase(found);
+               if (state == InboundState::kRunning) {
+                 self->Answer(std::move(response));
+               }
              });
 }
 
+void Connection::Answer(wire::Response response) {
+  response.generation = generation_;
+  if (Enqueue(response) || is_closed_) {
+    return;
+  }
+  // An answer that fits no frame is replaced, so that the caller does not wait for its deadline.
+  wire::Response refusal;
+  refusal.generation = generation_;
+  refusal.stream = response.stream;
+  refusal.outcome =
+      response.outcome == wire::Outcome::kNotRun ? wire::Outcome::kNotRun : wire::Outcome::kUnknown;
+  refusal.reason = "answer_too_large";
+  refusal.load = response.load;
+  refusal.unspent_allowance = response.unspent_allowance;
+  Enqueue(refusal);
+}
+
 void Connection::SendControl(wire::Channel channel, std::string payload) {
   asio::post(socket_.get_executor(),
              [self = shared_from_this(), channel, payload = std::move(payload)]() mutable {
@@ -224,7 +245,7 @@
     Enqueue(refusal);
     return;
   }
-  inbound_.insert(request.stream);
+  inbound_.emplace(request.stream, InboundState::kRunning);
   events_.handle_request(shared_from_this(), std::move(request));
 }
 
@@ -249,7 +270,10 @@
 }
 
 void Connection::HandleCancel(const wire::Cancel& cancel) {
-  if (cancel.generation == generation_ && inbound_.erase(cancel.stream) > 0) {
+  const auto found = inbound_.find(cancel.stream);
+  if (cancel.generation == generation_ && found != inbound_.end() &&
+      found->second == InboundState::kRunning) {
+    found->second = InboundState::kCancelled;
     events_.handle_cancel({id_, cancel.stream});
   }
 }
@@ -373,9 +397,11 @@
 }
 
 void Connection::CancelInbound() {
-  const std::set<std::uint64_t> streams = std::exchange(inbound_, {});
-  for (const std::uint64_t stream : streams) {
-    events_.handle_cancel({id_, stream});
+  const std::map<std::uint64_t, InboundState> streams = std::exchange(inbound_, {});
+  for (const auto& [stream, state] : streams) {
+    if (state == InboundState::kRunning) {
+      events_.handle_cancel({id_, stream});
+    }
   }
 }
 
--- a/libraries/transport/connection.h
+++ b/libraries/transport/connection.h
@@ -7,7 +7,6 @@
 #include <deque>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -89,6 +88,8 @@
     bool is_written = false;
   };
 
+  enum class InboundState { kRunning, kCancelled };
+
   struct QueuedFrame {
     std::string bytes;
     std::uint64_t stream = 0;  // Set for request frames only.
@@ -100,6 +101,7 @@
   void HandleFrame(wire::Frame frame);
   void HandleHello(const wire::Hello& hello);
   void HandleRequest(wire::Request request);
+  void Answer(wire::Response response);
   void HandleResponse(wire::Response response);
   void HandleCancel(const wire::Cancel& cancel);
   void StartCall(std::uint64_t stream, wire::Request request, ResponseHandler handler);
@@ -135,7 +137,9 @@
   std::vector<QueuedFrame> writing_;
   std::size_t queued_bytes_ = 0;
   std::map<std::uint64_t, PendingCall> calls_;
-  std::set<std::uint64_t> inbound_;
+  // Requests of the peer until they are answered here. A cancelled one keeps its stream, so that
+  // the peer cannot give the stream to another request while the answer is still to come.
+  std::map<std::uint64_t, InboundState> inbound_;
 };
 
 }  // namespace borageloft::transport
--- a/libraries/transport/peer_transport.cc
+++ b/libraries/transport/peer_transport.cc
@@ -17,7 +17,7 @@
       : context(io_context),
         options(std::move(transport_options)),
         hooks(std::move(transport_hooks)),
-        acceptor(io_context) {}
+        acceptor(asio::make_strand(io_context)) {}
 
   void Accept();
   void AddInbound(tcp::socket socket);
@@ -31,7 +31,7 @@
   asio::io_context& context;
   const TransportOptions options;
   const TransportHooks hooks;
-  tcp::acceptor acceptor;
+  tcp::acceptor acceptor;  // Used on its strand only, once it listens.
 
   mutable base::RankedMutex mutex{base::LockRank::kTransport};
   bool is_stopped = false;
@@ -260,7 +260,7 @@
     }
     state_->is_stopped = true;
   }
-  asio::post(state_->context, [state = state_] {
+  asio::post(state_->acceptor.get_executor(), [state = state_] {
     asio::error_code ignored;
     state->acceptor.close(ignored);
   });
--- a/tests/transport/peer_transport_test.cc
+++ b/tests/transport/peer_transport_test.cc
@@ -159,6 +159,11 @@
     return held_.back();
   }
 
+  std::size_t count() {
+    const std::scoped_lock lock(mutex_);
+    return held_.size();
+  }
+
   InboundRequestId WaitForCancel() {
     std::unique_lock lock(mutex_);
     changed_.wait(lock, [this] { return !cancelled_.empty(); });
@@ -266,6 +271,51 @@
   }
 }
 
+// Guards against a caller that waits for its deadline because the answer fits no frame.
+TEST(PeerTransportTest, AnswerThatFitsNoFrameIsReplaced) {
+  TransportHooks hooks;
+  hooks.handle_request = [](const std::string&, InboundRequestId, const wire::Request&,
+                            const Responder& respond) {
+    wire::Response response;
+    response.outcome = wire::Outcome::kRan;
+    response.body = std::string(2 * 1024 * 1024, 'x');
+    respond(response);
+  };
+  TestNode server("server", hooks);
+  TestNode client("client");
+  const CallResult result = Call(client, server.address(), "x");
+  ASSERT_TRUE(std::holds_alternative<wire::Response>(result));
+  EXPECT_EQ(std::get<wire::Response>(result).outcome, wire::Outcome::kUnknown);
+  EXPECT_EQ(std::get<wire::Response>(result).reason, "answer_too_large");
+}
+
+// Guards R3: a faulty peer cannot give the stream of a cancelled request, whose answer is still to
+// come, to another request.
+TEST(PeerTransportTest, StreamOfACancelledRequestStaysTaken) {
+  HoldingHooks holding;
+  TestNode server("server", holding.hooks());
+  asio::io_context context;
+  tcp::socket socket(context);
+  socket.connect({asio::ip::make_address("127.0.0.1"), server.address().endpoint.port});
+  const auto send = [&](const wire::Frame& frame) {
+    asio::write(socket, asio::buffer(wire::EncodeFrame(frame, 1 << 20)));
+  };
+  send(wire::Hello{wire::kProtocolVersion, "peer", 1, 7});
+  wire::Request request = MakeRequest("first");
+  request.generation = 7;
+  request.stream = 1;
+  send(request);
+  send(wire::Cancel{7, 1});
+  holding.WaitForCancel();
+  send(request);
+  std::array<char, 1024> buffer{};
+  asio::error_code error;
+  while (!error) {
+    socket.read_some(asio::buffer(buffer), error);
+  }
+  EXPECT_EQ(holding.count(), 1U);
+}
+
 // Guards against messages of an earlier life of a node.
 TEST(PeerTransportTest, RefusesStaleIncarnation) {
   TestNode server("server");
