--- a/libraries/dissemination/messages.h
+++ b/libraries/dissemination/messages.h
@@ -47,7 +47,7 @@
   std::uint64_t number = 0;
   bool wants_snapshot = false;
   ZoneReport report;    ///< The child and all nodes below it.
-  std::string address;  ///< Where the child is reached, as IP:port; empty when that is known.
+  std::string address = {};  ///< Where the child is reached, as IP:port; empty when that is known.
 };
 
 /** Parent to child: answer to StatusUp. */
@@ -87,7 +87,7 @@
 struct Position {
   std::uint64_t version = 0;
   std::vector<std::string> candidates;  ///< Parent, grandparent, control hosts.
-  std::vector<NodeAddress> addresses;   ///< Of the candidates that are no control hosts.
+  std::vector<NodeAddress> addresses = {};   ///< Of the candidates that are no control hosts.
 };
 
 /** Control host to those of other regions: the nodes that its registry holds in one zone. */
