--- a/libraries/node/announce_api.cc
+++ b/libraries/node/announce_api.cc
@@ -40,7 +40,15 @@
   Json::CharReaderBuilder::strictMode(&builder.settings_);
   const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
   Json::Value root;
-  if (!reader->parse(body.data(), body.data() + body.size(), &root, &error) || !root.isObject()) {
+  bool is_object = false;
+  try {
+    is_object =
+        reader->parse(body.data(), body.data() + body.size(), &root, &error) && root.isObject();
+  } catch (const Json::Exception&) {
+    // jsoncpp throws for arrays that are nested too deeply.
+    is_object = false;
+  }
+  if (!is_object) {
     error = "the body is no JSON object";
     return std::nullopt;
   }
--- a/libraries/node/attempt_loop.cc
+++ b/libraries/node/attempt_loop.cc
@@ -130,7 +130,11 @@
     }
     CancelRest();
     if (!last) {
-      last = NoUpstream();
+      last = NothingSent();
+    }
+    // The last attempt may not have run while an earlier one did.
+    if (MayHaveRun()) {
+      last = WithoutNotRun(std::move(*last));
     }
     return {FormatResult(std::move(*last)), allowance_.Close()};
   }
@@ -145,17 +149,42 @@
     SentCall call;
     bool has_ended = false;
     bool has_timed_out = false;
+    bool may_have_run = false;  // Known once it has ended.
   };
 
-  static CallResult NoUpstream() {
+  CallResult NothingSent() const {
     wire::Response response;
     response.outcome = wire::Outcome::kNotRun;
     response.reason = "no_upstream";
     response.retry_after = std::chrono::seconds(1);
+    if (services_.clock() >= plan_.deadline) {
+      response.reason = "expired";
+      response.retry_after = {};
+    }
     return response;
   }
 
+  bool MayHaveRun() const {
+    return std::any_of(attempts_.begin(), attempts_.end(), [](const Attempt& attempt) {
+      return !attempt.has_ended || attempt.may_have_run;
+    });
+  }
+
+  static CallResult WithoutNotRun(CallResult result) {
+    if (std::holds_alternative<CallFailure>(result)) {
+      return CallFailure::kLost;
+    }
+    auto& response = std::get<wire::Response>(result);
+    if (response.outcome == wire::Outcome::kNotRun) {
+      response.outcome = wire::Outcome::kUnknown;
+    }
+    return result;
+  }
+
   bool Send() {
+    if (services_.clock() >= plan_.deadline) {
+      return false;
+    }
     RouteQuery query{plan_.request.service, {}, avoided_zones_, allowance_.unspent() > 0};
     for (const Attempt& attempt : attempts_) {
       query.tried.push_back(attempt.target);
@@ -295,15 +324,18 @@
     Attempt& attempt = attempts_.at(end.attempt);
     VERIFY(!attempt.has_ended);
     attempt.has_ended = true;
+    const auto* answer = std::get_if<wire::Response>(&end.result);
+    attempt.may_have_run = answer != nullptr
+                               ? answer->outcome != wire::Outcome::kNotRun
+                               : std::get<CallFailure>(end.result) == CallFailure::kLost;
     const std::string& service = plan_.request.service;
     const base::Duration latency = services_.clock() - attempt.started;
     tracing::SpanStatus status = tracing::SpanStatus::kError;
-    if (const auto* response = std::get_if<wire::Response>(&end.result)) {
-      loop_.routes_.RecordAnswer(service, attempt.target, *response, latency);
+    if (answer != nullptr) {
+      loop_.routes_.RecordAnswer(service, attempt.target, *answer, latency);
       loop_.sender_.RecordAnswer(attempt.target.peer.node);
-      allowance_.SettleAnswered(attempt.loan, response->unspent_allowance);
-      const bool is_whole =
-          response->outcome == wire::Outcome::kRan && response->status < kServerError;
+      allowance_.SettleAnswered(attempt.loan, answer->unspent_allowance);
+      const bool is_whole = answer->outcome == wire::Outcome::kRan && answer->status < kServerError;
       status = is_whole ? tracing::SpanStatus::kOk : tracing::SpanStatus::kError;
       if (is_whole && end.attempt == 0) {
         loop_.RecordFirstSuccess(service);
--- a/libraries/node/control_channel.cc
+++ b/libraries/node/control_channel.cc
@@ -41,7 +41,8 @@
   }
   try {
     found->second(from, payload);
-  } catch (const base::Error& error) {
+  } catch (const std::exception& error) {
+    // A malformed message of another node must not end this one.
     base::Log(base::LogLevel::kWarning, "control_message_refused",
               {{"from", from}, {"channel", static_cast<int>(channel)}, {"error", error.what()}});
   }
--- a/libraries/node/inbound_calls.cc
+++ b/libraries/node/inbound_calls.cc
@@ -1,16 +1,26 @@
 #include "libraries/node/inbound_calls.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace borageloft::node {
 
+namespace {
+
+// The longest timeout that a caller may ask for; a longer one is malformed.
+constexpr base::Duration kLongestRemaining = std::chrono::seconds(600);
+
+}  // namespace
+
 void InboundCalls::Start(transport::InboundRequestId id, wire::Request request,
                          transport::Responder respond) {
   {
     const std::scoped_lock lock(mutex_);
     VERIFY(calls_.emplace(id, Inbound{}).second);
   }
-  const base::TimePoint deadline = services_.clock() + request.remaining;
+  const base::TimePoint deadline =
+      services_.clock() + std::clamp(request.remaining, base::Duration::zero(), kLongestRemaining);
+  request.context.begun = std::max(request.context.begun, base::WallTime());
   const GateCallId call =
       gate_.Submit(std::move(request), deadline,
                    [this, id, respond = std::move(respond)](wire::Response response) {
--- a/libraries/node/joined_requests.cc
+++ b/libraries/node/joined_requests.cc
@@ -11,7 +11,7 @@
                                        const std::function<http::HttpResponse()>& run) {
   JoinVerdict verdict = JoinVerdict::kAlone;
   WaiterId id{};
-  std::future<http::HttpResponse> answer;
+  std::future<std::optional<http::HttpResponse>> answer;
   {
     const std::scoped_lock lock(mutex_);
     id = WaiterId{next_waiter_++};
@@ -24,28 +24,50 @@
     return Lead(key, id, run);
   }
   if (verdict == JoinVerdict::kJoined) {
-    if (answer.wait_for(timeout) == std::future_status::ready) {
-      return answer.get();
+    if (answer.wait_for(timeout) != std::future_status::ready) {
+      const std::scoped_lock lock(mutex_);
+      table_.Leave(key, id);
+      waiters_.erase(id);
+      return http::FormatProblem({504,
+                                  "no_answer",
+                                  "the same lookup that runs already gave no answer in time",
+                                  wire::Outcome::kUnknown,
+                                  {}});
+    }
+    if (auto response = answer.get()) {
+      return std::move(*response);
     }
-    const std::scoped_lock lock(mutex_);
-    table_.Leave(key, id);
-    waiters_.erase(id);
   }
   return run();
 }
 
+std::size_t JoinedRequests::waiting() const {
+  const std::scoped_lock lock(mutex_);
+  return waiters_.size();
+}
+
 http::HttpResponse JoinedRequests::Lead(const retry::JoinKey& key, WaiterId id,
                                         const std::function<http::HttpResponse()>& run) {
-  http::HttpResponse response = run();
+  try {
+    http::HttpResponse response = run();
+    Release(key, id, &response);
+    return response;
+  } catch (...) {
+    Release(key, id, nullptr);
+    throw;
+  }
+}
+
+void JoinedRequests::Release(const retry::JoinKey& key, WaiterId lead,
+                             const http::HttpResponse* response) {
   const std::scoped_lock lock(mutex_);
-  for (const WaiterId waiter : table_.Complete(key, id)) {
+  for (const WaiterId waiter : table_.Complete(key, lead)) {
     const auto found = waiters_.find(waiter);
     if (found != waiters_.end()) {
-      found->second.set_value(response);
+      found->second.set_value(response != nullptr ? std::optional(*response) : std::nullopt);
       waiters_.erase(found);
     }
   }
-  return response;
 }
 
 }  // namespace borageloft::node
--- a/libraries/node/node.cc
+++ b/libraries/node/node.cc
@@ -73,7 +73,11 @@
 }  // namespace
 
 struct Node::State {
+  struct Unstarted {};
+
   explicit State(settings::NodeSettings node_settings);
+  // Delegated to, so that a start that fails half way is undone by the destructor.
+  State(settings::NodeSettings node_settings, Unstarted unstarted);
   ~State() { Stop(); }
 
   transport::TransportHooks MakeTransportHooks();
@@ -118,7 +122,7 @@
   bool is_stopped = false;
 };
 
-Node::State::State(settings::NodeSettings node_settings)
+Node::State::State(settings::NodeSettings node_settings, Unstarted /*unstarted*/)
     : settings(std::move(node_settings)),
       spans(settings.node, tracing::WriteLinesTo(settings.span_file), kSpanQueue),
       services{settings,
@@ -153,7 +157,10 @@
                     }),
       local_server(MakeHttpOptions(settings), [this](const http::HttpRequest& request) {
         return local_http.Handle(request);
-      }) {
+      }) {}
+
+Node::State::State(settings::NodeSettings node_settings)
+    : State(std::move(node_settings), Unstarted()) {
   channel.Attach(transport);
   endpoints.peers = transport.Listen(settings.peers);
   members =
@@ -286,11 +293,10 @@
   caller_server.Stop();
   local_server.Stop();
   driver.Stop();
+  // What the gate reports needs the parts that are destroyed before it.
+  gate.Stop();
   transport.Stop();
   work.reset();
-  // Connections end on the event loop; what hangs on there is dropped with it.
-  std::this_thread::sleep_for(kDrainCheck);
-  context.stop();
   for (std::thread& thread : threads) {
     thread.join();
   }
--- a/libraries/node/request_entry.cc
+++ b/libraries/node/request_entry.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace borageloft::node {
@@ -15,6 +16,8 @@
 
 constexpr std::size_t kMaximumKeyLength = 128;
 constexpr const char* kRequestIdHeader = "X-Request-Id";
+constexpr std::array kIdentifyingHeaders = {http::kContextHeader, http::kTimeoutHeader,
+                                            http::kTraceHeader, http::kKeyHeader, kRequestIdHeader};
 
 Problem RefuseAsNotRun(int status, std::string reason, std::string detail,
                        base::Duration retry_after = {}) {
@@ -30,6 +33,26 @@
   return base::Digest(request.method + '\n' + request.path + '\n' + request.body);
 }
 
+// Headers can change the answer to a lookup, so only requests with equal ones are the same. Those
+// that name a request or its deadline differ in any case.
+std::string JoinDigestOf(const wire::Request& request) {
+  std::vector<std::string> lines;
+  for (const wire::Header& header : request.headers) {
+    const bool is_own =
+        std::any_of(kIdentifyingHeaders.begin(), kIdentifyingHeaders.end(),
+                    [&](const char* name) { return http::IsSameHeader(header.name, name); });
+    if (!is_own) {
+      lines.push_back(header.name + ':' + header.value);
+    }
+  }
+  std::sort(lines.begin(), lines.end());
+  std::string text = DigestOf(request);
+  for (const std::string& line : lines) {
+    text += '\n' + line;
+  }
+  return base::Digest(text);
+}
+
 class CountGuard {
  public:
   explicit CountGuard(std::atomic<std::size_t>& count) : count_(count) { ++count_; }
@@ -274,7 +297,7 @@
   if (!is_lookup || !services_.settings.has_controls) {
     return RunAttempts(request, entry);
   }
-  const retry::JoinKey key{entry.request.service, id, DigestOf(entry.request)};
+  const retry::JoinKey key{entry.request.service, id, JoinDigestOf(entry.request)};
   return joined_.Run(key, entry.deadline - entry.arrived,
                      [&] { return RunAttempts(request, entry); });
 }
--- a/libraries/node/upstream_gate.cc
+++ b/libraries/node/upstream_gate.cc
@@ -146,8 +146,8 @@
   follow_up.run.push_back(call);
 }
 
-void UpstreamGate::RefuseLocked(const CallPointer& call, const char* reason,
-                                base::Duration retry_after, FollowUp& follow_up) {
+void UpstreamGate::RefuseLocked(CallPointer call, const char* reason, base::Duration retry_after,
+                                FollowUp& follow_up) {
   // Only a request that never started may be called not run.
   VERIFY(!call->is_running);
   calls_.erase(call->id);
@@ -158,22 +158,36 @@
   response.load = LoadLocked();
   response.unspent_allowance = call->request.context.allowance;
   services_.metrics.CountShed(call->request.context.class_name, reason);
-  follow_up.answers.emplace_back(call, std::move(response));
+  follow_up.answers.emplace_back(std::move(call), std::move(response));
 }
 
-void UpstreamGate::Carry(FollowUp follow_up) {
-  {
-    const std::scoped_lock lock(mutex_);
-    follow_up.upstream_changes = std::exchange(pending_changes_, {});
-  }
+void UpstreamGate::Carry(FollowUp&& follow_up) {
   for (const CallPointer& call : follow_up.run) {
     workers_.Post([this, call] { Run(call); });
   }
   for (auto& [call, response] : follow_up.answers) {
     call->respond(std::move(response));
   }
-  for (const auto& upstream : follow_up.upstream_changes) {
-    hooks_.upstream_changed(upstream);
+  DeliverChanges();
+}
+
+// One thread at a time delivers, so that an older state never arrives after a newer one.
+void UpstreamGate::DeliverChanges() {
+  while (true) {
+    std::vector<std::optional<UpstreamData>> changes;
+    {
+      const std::scoped_lock lock(mutex_);
+      if (is_delivering_ || pending_changes_.empty()) {
+        return;
+      }
+      is_delivering_ = true;
+      changes = std::exchange(pending_changes_, {});
+    }
+    for (const auto& upstream : changes) {
+      hooks_.upstream_changed(upstream);
+    }
+    const std::scoped_lock lock(mutex_);
+    is_delivering_ = false;
   }
 }
 
@@ -329,9 +343,12 @@
     return AnnounceRefusal::kAddressInvalid;
   }
   AnnounceRefusal refusal = AnnounceRefusal::kNone;
+  FollowUp follow_up;
   {
     const std::scoped_lock lock(mutex_);
     upstream_.ApplyNote(InstructionFor(*policy, announcement.address), now);
+    // The note may make the upstream leave: what is queued must not start any more.
+    BeginLeavingLocked(now, follow_up);
     const std::optional<UpstreamData> before = upstream_.data();
     refusal = upstream_.Announce(announcement, now);
     if (refusal == AnnounceRefusal::kNone) {
@@ -347,7 +364,11 @@
       upstream_.ConfirmReachable(now);
     }
   }
-  Carry({});
+  Carry(std::move(follow_up));
+  // A note that came into force meanwhile was applied before there was anything to apply it to.
+  if (const auto current = services_.policies.current(); current != policy) {
+    ApplyPolicy(*current);
+  }
   return refusal;
 }
 
@@ -404,6 +425,21 @@
   Carry(std::move(follow_up));
 }
 
+void UpstreamGate::Stop() {
+  BeginNodeStop();
+  std::vector<CallPointer> running;
+  {
+    const std::scoped_lock lock(mutex_);
+    for (const auto& [id, call] : calls_) {
+      running.push_back(call);
+    }
+  }
+  for (const CallPointer& call : running) {
+    call->cancellation.Cancel();
+  }
+  workers_.Stop();
+}
+
 void UpstreamGate::BeginLeavingLocked(base::TimePoint now, FollowUp& follow_up) {
   const bool is_leaving =
       upstream_.state() == UpstreamState::kLeaving || upstream_.state() == UpstreamState::kGone;
@@ -417,6 +453,11 @@
   FollowUp follow_up;
   {
     const std::scoped_lock lock(mutex_);
+    // Two notes in a row may be applied by two threads.
+    if (policy.number() < applied_note_) {
+      return;
+    }
+    applied_note_ = policy.number();
     if (const auto data = upstream_.data()) {
       upstream_.ApplyNote(InstructionFor(policy, data->address), now);
       BeginLeavingLocked(now, follow_up);
--- a/libraries/node/upstream_gate.h
+++ b/libraries/node/upstream_gate.h
@@ -83,6 +83,9 @@
   /** The node shuts down. */
   void BeginNodeStop();
 
+  /** Cancels what still runs and waits for it; everything else is refused from now on. */
+  void Stop();
+
   /** Applies the release note in force to the upstream and the bounds of its classes. */
   void ApplyPolicy(const notes::Policy& policy);
 
@@ -112,19 +115,20 @@
   struct FollowUp {
     std::vector<CallPointer> run;
     std::vector<std::pair<CallPointer, wire::Response>> answers;
-    std::vector<std::optional<membership::UpstreamData>> upstream_changes;
   };
 
   void OfferLocked(const CallPointer& call, const notes::Policy& policy, base::TimePoint now,
                    FollowUp& follow_up);
   void ApplyChangesLocked(const admission::GateChanges& changes, FollowUp& follow_up);
   void StartLocked(const CallPointer& call, FollowUp& follow_up);
-  void RefuseLocked(const CallPointer& call, const char* reason, base::Duration retry_after,
+  // Takes a pointer of its own: the caller's may be the entry of calls_ that is erased.
+  void RefuseLocked(CallPointer call, const char* reason, base::Duration retry_after,
                     FollowUp& follow_up);
   void ConfigureGateLocked(const notes::Policy& policy);
   void BeginLeavingLocked(base::TimePoint now, FollowUp& follow_up);
   wire::LoadReport LoadLocked() const;
-  void Carry(FollowUp follow_up);
+  void Carry(FollowUp&& follow_up);
+  void DeliverChanges();
 
   void Run(const CallPointer& call);
   wire::Response Execute(Call& call, base::Duration& service_time, base::Duration& downstream_time,
@@ -142,6 +146,8 @@
 
   mutable base::RankedMutex mutex_{base::LockRank::kAdmission};
   std::vector<std::optional<membership::UpstreamData>> pending_changes_;
+  bool is_delivering_ = false;
+  std::uint64_t applied_note_ = 0;
   membership::LocalUpstream upstream_;
   std::optional<admission::AdmissionGate> gate_;
   std::shared_ptr<http::UpstreamClient> client_;
