--- a/libraries/dissemination/messages.h
+++ b/libraries/dissemination/messages.h
@@ -46,7 +46,7 @@
   std::uint64_t sequence = 0;  ///< Rises within the incarnation.
   std::uint64_t number = 0;
   bool wants_snapshot = false;
-  ZoneReport report;    ///< The child and all nodes below it.
+  ZoneReport report;         ///< The child and all nodes below it.
   std::string address = {};  ///< Where the child is reached, as IP:port; empty when that is known.
 };
 
@@ -86,8 +86,8 @@
 /** Control host to node: its parent candidates, nearest first. */
 struct Position {
   std::uint64_t version = 0;
-  std::vector<std::string> candidates;  ///< Parent, grandparent, control hosts.
-  std::vector<NodeAddress> addresses = {};   ///< Of the candidates that are no control hosts.
+  std::vector<std::string> candidates;      ///< Parent, grandparent, control hosts.
+  std::vector<NodeAddress> addresses = {};  ///< Of the candidates that are no control hosts.
 };
 
 /** Control host to those of other regions: the nodes that its registry holds in one zone. */
--- a/tests/dissemination/tree_test.cc
+++ b/tests/dissemination/tree_test.cc
@@ -163,7 +163,7 @@
 }
 
 // Guards against a child that is counted twice until the last report of its former host expires.
-TEST(TreeNodeTest, AControlHostReportsThatTheLastChildOfAZoneLeft) {
+TEST(TreeNodeEndTest, AControlHostReportsThatTheLastChildOfAZoneLeft) {
   SingleNode host(TreeRole::kControlHost);
   host.tree->Receive("child", ChildStatus(), host.now);
   host.tree->Tick(host.now);
@@ -177,7 +177,7 @@
 }
 
 // Guards against a graceful end that parent and children notice only by silence.
-TEST(TreeNodeTest, ANodeThatEndsTellsParentAndChildren) {
+TEST(TreeNodeEndTest, ANodeThatEndsTellsParentAndChildren) {
   SingleNode node(TreeRole::kNode);
   node.tree->Receive("child", ChildStatus(), node.now);
   node.sent.clear();
