Replication: Remove the earlier replica of a host before its learner votes

Right after a restart without files, the earlier replica still counted as reachable. Its learner was then promoted beside it, and the group kept a voter that never answers: four voters on three hosts, so that a further failure cost the quorum. The promotion now waits until the earlier replica is unreachable and removes it first.

--- a/libraries/replication/replica_host.cc
+++ b/libraries/replication/replica_host.cc
@@ -60,7 +60,11 @@
       storage.save_snapshot(*state->snapshot);
     }
     dependencies_.state_machine.restore(state->snapshot->data);
-    applied_ = state->snapshot->index;
+    {
+      // status() may be called while the replica starts.
+      const std::scoped_lock lock(mutex_);
+      applied_ = state->snapshot->index;
+    }
     Open(std::move(*state));
   } catch (const ReplicationError&) {
     throw;
@@ -201,13 +205,20 @@
       continue;
     }
     MembershipChange change{MembershipChangeKind::kPromoteLearner, learner, ""};
+    bool has_reachable_predecessor = false;
     for (const auto& [voter, other] : members) {
       // The earlier replica of the same host goes first: a failure of the learner's host then
       // leaves the quorum as it was.
-      if (other.is_voter && other.host == member.host && !replica_->IsReachable(voter)) {
+      if (other.is_voter && other.host == member.host) {
         change = {MembershipChangeKind::kRemove, voter, ""};
+        has_reachable_predecessor = has_reachable_predecessor || replica_->IsReachable(voter);
       }
     }
+    // Right after a restart the earlier replica still counts as reachable. Promoting the learner
+    // then would leave a voter in the group that never answers again.
+    if (has_reachable_predecessor) {
+      continue;
+    }
     replica_->ProposeMembership(change);
     return;
   }
