Settings: Add the number of ledger groups; Notes: Refuse a changed home

Each node needs the same mapping from keys to ledger groups. The setting ledger_groups (1 to 16) states how many groups each region has. A note that changes the home of a service is refused: nodes learn of a note at different times and forget the earlier home with a restart, so that a key could be granted in both regions.

--- a/libraries/notes/policy.cc
+++ b/libraries/notes/policy.cc
@@ -101,7 +101,12 @@
         parser.Choice("hedging", service.hedging == Hedging::kOn ? "on" : "off", {"on", "off"}) ==
         "on";
     service.hedging = has_hedging ? Hedging::kOn : Hedging::kOff;
-    service.home = parser.Text("home", service.home);
+    const std::string home = parser.Text("home", service.home);
+    // Nodes learn of a note at different times, so a key could be granted once in each region.
+    if (change.action == Action::kChange && home != service.home) {
+      parser.AddIssue("home", "cannot be changed; add the service under another name");
+    }
+    service.home = home;
     if (parser.Has("calls")) {
       service.calls = parser.List("calls");
     }
--- a/libraries/settings/node_settings.cc
+++ b/libraries/settings/node_settings.cc
@@ -87,6 +87,7 @@
     for (const std::string& part : parser.List("peers")) {
       AddControlPeer(parser, part);
     }
+    settings_.ledger_groups = parser.Integer("ledger_groups", settings_.ledger_groups, 1, 16);
     constexpr std::size_t kMaximumControlHosts = 16;
     if (settings_.control_peers.size() > kMaximumControlHosts) {
       parser.AddIssue("peers", "names more than 16 control hosts");
--- a/libraries/settings/node_settings.h
+++ b/libraries/settings/node_settings.h
@@ -50,6 +50,11 @@
   Endpoint operators;
   std::string token_file;
   std::vector<ControlPeer> control_peers;
+  /**
+   * Ledger groups in each region, equal on all nodes. A change moves keys to other groups, so it
+   * must be made on all nodes while no non-idempotent request of the last 24 h may be sent again.
+   */
+  std::int64_t ledger_groups = 1;
   std::string data_folder;
   LimitSettings limits;
   TransportSettings transport;
--- a/tests/notes/policy_test.cc
+++ b/tests/notes/policy_test.cc
@@ -60,6 +60,14 @@
             (std::vector<std::string>{"claims-ledger", "parts-bin"}));
 }
 
+// Guards against keys that move to the ledger of another region and are granted there once more.
+TEST(PolicyTest, RefusesAChangedHome) {
+  const Policy policy = Apply({}, kFirst);
+  const std::string change = "[note]\nnumber = 2\nauthor = ana\n[changed service claims-ledger]\n";
+  EXPECT_THAT(Refusal(policy, change + "home = recife\n"), HasSubstr("home: cannot be changed"));
+  EXPECT_EQ(Refusal(policy, change + "home = ne-north\ntimeout = 1s\n"), "");
+}
+
 // Guards against a snapshot that loses or changes a part of the policy.
 TEST(PolicyTest, FormattedPolicyGivesAnEqualPolicy) {
   Policy policy = Apply({}, kFirst);
--- a/tests/settings/node_settings_test.cc
+++ b/tests/settings/node_settings_test.cc
@@ -43,6 +43,16 @@
   EXPECT_TRUE(settings.is_control_host());
 }
 
+// Guards against ledger groups beyond what the hosts of a region can carry.
+TEST(NodeSettingsTest, ReadsLedgerGroupsWithinRange) {
+  EXPECT_EQ(ParseNodeSettings(kValid, "node.ini").ledger_groups, 1);
+  std::string text = kValid;
+  text.replace(text.find("[transport]"), 0, "ledger_groups = 17\n");
+  const auto issues = IssuesOf(text);
+  ASSERT_EQ(issues.size(), 1U);
+  EXPECT_THAT(issues[0].message, HasSubstr("from 1 to 16"));
+}
+
 // Guards against a mistyped key that leaves its default in force unnoticed.
 TEST(NodeSettingsTest, RefusesUnknownKeysAndSectionsWithPlace) {
   const auto issues = IssuesOf(std::string(kValid) + "ping_intervall = 1s\n[tracking]\n");
