Node: Run non-idempotent requests by permits of the ledger

The gate let every request run, so that a resend could run twice. LedgerControl keeps the ledger groups on control hosts and sets the time of each batch at the leader. A request that ran is told as not run only once the ledger has closed its key.

A node without a release note refuses every request at the entry and at the gate, since it cannot know which ones may run twice.

--- a/libraries/node/control_channel.cc
+++ b/libraries/node/control_channel.cc
@@ -12,6 +12,13 @@
   }
 }
 
+void ControlChannel::Attach(transport::PeerTransport& transport) {
+  carrier_ = [&transport](const transport::PeerAddress& to, wire::Channel channel,
+                          std::string payload) {
+    transport.SendControl(to, channel, std::move(payload));
+  };
+}
+
 void ControlChannel::Handle(wire::Channel channel, ControlHandler handler) {
   handlers_[channel] = std::move(handler);
 }
@@ -30,7 +37,7 @@
     }
     peer.endpoint = found->second;
   }
-  transport_->SendControl(peer, channel, std::move(payload));
+  carrier_(peer, channel, std::move(payload));
 }
 
 void ControlChannel::Receive(const std::string& from, wire::Channel channel,
--- a/libraries/node/control_channel.h
+++ b/libraries/node/control_channel.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <utility>
 
 #include "libraries/base/base.h"
 #include "libraries/settings/settings.h"
@@ -23,6 +24,10 @@
   /** Runs a task later on another thread. */
   using Post = std::function<void(std::function<void()> task)>;
 
+  /** Sends a message to another node; it may be lost. */
+  using Carrier = std::function<void(const transport::PeerAddress& to, wire::Channel channel,
+                                     std::string payload)>;
+
   /**
    * @param node This node.
    * @param transport Carries messages to other nodes.
@@ -31,7 +36,10 @@
   ControlChannel(std::string node, const std::vector<settings::ControlPeer>& peers, Post post);
 
   /** Sets the transport, once, before the first message. */
-  void Attach(transport::PeerTransport& transport) { transport_ = &transport; }
+  void Attach(transport::PeerTransport& transport);
+
+  /** Sets what carries messages in place of a transport, for tests in one process. */
+  void SetCarrier(Carrier carrier) { carrier_ = std::move(carrier); }
 
   /** Sets the receiver of a channel, before messages arrive. */
   void Handle(wire::Channel channel, ControlHandler handler);
@@ -48,7 +56,7 @@
  private:
   const std::string node_;
   const Post post_;
-  transport::PeerTransport* transport_ = nullptr;
+  Carrier carrier_;
   std::map<wire::Channel, ControlHandler> handlers_;
   base::RankedMutex mutex_{base::LockRank::kTransport};
   std::map<std::string, settings::Endpoint> addresses_;
--- a/libraries/node/control_group.cc
+++ b/libraries/node/control_group.cc
@@ -29,11 +29,12 @@
 
 ControlGroup::ControlGroup(const NodeServices& services, const storage::DataFolder& folder,
                            GroupHub& hub, std::string group, std::vector<std::string> hosts,
-                           replication::StateMachine state_machine)
+                           replication::StateMachine state_machine, PrepareHook prepare)
     : services_(services),
       hub_(hub),
       group_(std::move(group)),
       hosts_(std::move(hosts)),
+      prepare_(std::move(prepare)),
       timers_(services.clock),
       storage_(folder, group_) {
   replication::ReplicaHost::Dependencies dependencies;
@@ -141,8 +142,15 @@
 void ControlGroup::HandleProbe(const std::string& from) {
   const replication::HostStatus status = host_->status();
   const bool is_running = status.state == replication::HostState::kRunning;
+  bool is_empty = false;
+  {
+    // Before Start() has looked at the files, and while a stored replica is being opened, the host
+    // does not know that it is empty; a wrong "empty" would let another host found the group anew.
+    const std::scoped_lock lock(mutex_);
+    is_empty = stage_ == Stage::kProbing || stage_ == Stage::kJoining;
+  }
   // A host whose storage failed has state that it cannot show, so it says nothing.
-  if (is_running || status.state == replication::HostState::kCreated) {
+  if (is_running || (is_empty && status.state == replication::HostState::kCreated)) {
     SendTo(from, StateProbeAnswer{!is_running, status.soft_state.term});
   }
 }
@@ -176,8 +184,13 @@
 }
 
 void ControlGroup::HandleForward(const std::string& from, const ForwardedCommand& command) {
-  host_->Propose(command.command, [this, from, request = command.request](
-                                      const replication::ProposalOutcome& outcome) {
+  std::optional<std::string> prepared = prepare_ ? prepare_(command.command) : command.command;
+  if (!prepared) {
+    SendTo(from, ForwardAnswer{command.request, ForwardResult::kNoEffect, "", ""});
+    return;
+  }
+  host_->Propose(std::move(*prepared), [this, from, request = command.request](
+                                           const replication::ProposalOutcome& outcome) {
     SendTo(from, ForwardAnswer{request, ResultOf(outcome.kind), HostOf(outcome.leader_hint),
                                outcome.result});
   });
--- a/libraries/node/control_group.h
+++ b/libraries/node/control_group.h
@@ -2,6 +2,7 @@
 #define BORAGELOFT_NODE_CONTROL_GROUP_H_
 
 #include <atomic>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -16,6 +17,12 @@
 
 namespace borageloft::node {
 
+/**
+ * Prepares a forwarded command on the host that proposes it, for example by setting its time.
+ * @return The command to propose; nothing to refuse it without effect.
+ */
+using PrepareHook = std::function<std::optional<std::string>(const std::string& command)>;
+
 /** State of a group's member on this host, for status and metrics. */
 struct ControlGroupStatus {
   replication::HostStatus host;
@@ -35,10 +42,11 @@
   /**
    * @param group Name of the group; also the name of its folder.
    * @param hosts Founding control hosts, this one included.
+   * @param prepare Prepares forwarded commands; an empty hook leaves them as they are.
    */
   ControlGroup(const NodeServices& services, const storage::DataFolder& folder, GroupHub& hub,
                std::string group, std::vector<std::string> hosts,
-               replication::StateMachine state_machine);
+               replication::StateMachine state_machine, PrepareHook prepare = {});
 
   /** Hands leadership over and stops. */
   ~ControlGroup();
@@ -71,6 +79,7 @@
   GroupHub& hub_;
   const std::string group_;
   const std::vector<std::string> hosts_;
+  const PrepareHook prepare_;
   // Everything of the group runs on one thread of its own, so that a slow disk holds up neither
   // requests nor other groups.
   timer::TimerService timers_;
--- a/libraries/node/node.cc
+++ b/libraries/node/node.cc
@@ -18,6 +18,8 @@
 #include "libraries/node/group_client.h"
 #include "libraries/node/group_hub.h"
 #include "libraries/node/inbound_calls.h"
+#include "libraries/node/ledger_control.h"
+#include "libraries/node/ledger_table.h"
 #include "libraries/node/membership_table.h"
 #include "libraries/node/node_http.h"
 #include "libraries/node/note_control.h"
@@ -132,6 +134,9 @@
   membership::Incarnation incarnation;
 
   ControlChannel channel;
+  GroupHub group_hub;
+  // Before the gate, whose workers use it until they have ended.
+  LedgerTable ledger_table;
   RunningRequests running;
   RoutingTable routes;
   UpstreamGate gate;
@@ -142,9 +147,9 @@
   const storage::FileSystem file_system = storage::PosixFileSystem();
   std::unique_ptr<storage::DataFolder> folder;  // Null on a host without a data folder.
   std::unique_ptr<NoteTable> note_table;
-  GroupHub group_hub;
   GroupClient note_client;
-  std::unique_ptr<NoteControl> note_control;  // Null on a node that is no control host.
+  std::unique_ptr<NoteControl> note_control;      // Null on a node that is no control host.
+  std::unique_ptr<LedgerControl> ledger_control;  // Likewise.
   CallSender sender;
   AttemptLoop attempts;
   RequestEntry entry;
@@ -171,11 +176,12 @@
       incarnation(base::SystemWallClock()),
       channel(settings.node, settings.control_peers,
               [this](std::function<void()> task) { asio::post(context, std::move(task)); }),
+      group_hub(channel),
+      ledger_table(services, group_hub, incarnation.Next()),
       routes(services),
       gate(services, running, MakeGateHooks()),
       inbound(services, gate),
       transport(context, MakeTransportOptions(settings, incarnation.Next()), MakeTransportHooks()),
-      group_hub(channel),
       note_client(services, group_hub, kNoteGroup, ControlHostsOf(settings)),
       sender(services, gate, transport),
       attempts(services, routes, sender,
@@ -202,7 +208,10 @@
   endpoints.peers = transport.Listen(settings.peers);
   members =
       std::make_unique<MembershipTable>(services, incarnation, endpoints.peers, channel, routes);
-  policies.AddListener([this](const notes::Policy& policy) { gate.ApplyPolicy(policy); });
+  policies.AddListener([this](const notes::Policy& policy) {
+    ledger_table.ApplyPolicy(policy);
+    gate.ApplyPolicy(policy);
+  });
   note_table = std::make_unique<NoteTable>(MakeNoteStorage(folder.get()), policies);
   PullNotes();
   StartControl();
@@ -244,10 +253,7 @@
     return data ? routes.WorstAlong(policies.current()->FindCallPath(data->service))
                 : admission::AdmissionLevel();
   };
-  hooks.once.acquire = [](const wire::Request&, base::TimePoint) {
-    return std::optional<wire::Response>();
-  };
-  hooks.once.finish = [](const wire::Request&, const wire::Response*) {};
+  hooks.once = ledger_table.Hooks();
   return hooks;
 }
 
@@ -259,6 +265,8 @@
       services, *folder, group_hub, ControlHostsOf(settings), *note_table,
       NoteControl::Listener{[](const note_log::Note&) {}, [] {}});
   note_control->Start();
+  ledger_control = std::make_unique<LedgerControl>(services, *folder, group_hub);
+  ledger_control->Start();
 }
 
 // Nodes ask a control host for newer notes.
@@ -279,8 +287,10 @@
   timers.SubscribeEvery(kMembershipTick, [this](base::TimePoint) { members->Tick(); });
   timers.SubscribeEvery(kControlTick, [this](base::TimePoint) {
     note_client.Tick();
+    ledger_table.Tick();
     if (note_control != nullptr) {
       note_control->Tick();
+      ledger_control->Tick();
     }
   });
   timers.SubscribeEvery(kRoutingTick, [this](base::TimePoint) { routes.Expire(); });
@@ -341,6 +351,7 @@
     return;
   }
   is_stopped = true;
+  ledger_table.Stop();
   if (operator_server != nullptr) {
     operator_server->Stop();
   }
--- a/libraries/node/request_entry.cc
+++ b/libraries/node/request_entry.cc
@@ -101,6 +101,10 @@
   if (is_leaving_ && caller == CallerKind::kOutside) {
     return RefuseAsNotRun(503, "node_leaving", "this node is shutting down; use another one");
   }
+  if (entry.policy->number() == 0) {
+    return RefuseAsNotRun(503, "no_note", "no release note is in force on this node",
+                          std::chrono::seconds(1));
+  }
   if (auto problem = FindService(request, entry)) {
     return problem;
   }
--- a/libraries/node/upstream_gate.cc
+++ b/libraries/node/upstream_gate.cc
@@ -96,6 +96,11 @@
 
 void UpstreamGate::OfferLocked(const CallPointer& call, const notes::Policy& policy,
                                base::TimePoint now, FollowUp& follow_up) {
+  // Without a note it is not known whether the request may run twice.
+  if (policy.number() == 0) {
+    RefuseLocked(call, "no_note", {}, follow_up);
+    return;
+  }
   const auto data = upstream_.data();
   if (!data || data->service != call->request.service) {
     RefuseLocked(call, "no_upstream", {}, follow_up);
@@ -194,8 +199,9 @@
   } else {
     response = Execute(*call, service_time, downstream_time, outcome);
     if (call->is_once) {
-      hooks_.once.finish(call->request,
-                         response.outcome == wire::Outcome::kRan ? &response : nullptr);
+      const std::uint32_t unspent_allowance = response.unspent_allowance;
+      response = hooks_.once.finish(call->request, std::move(response), call->deadline);
+      response.unspent_allowance = unspent_allowance;
     }
   }
   Finish(call, std::move(response), outcome, service_time, downstream_time);
--- a/libraries/node/upstream_gate.h
+++ b/libraries/node/upstream_gate.h
@@ -32,8 +32,13 @@
   std::function<std::optional<wire::Response>(const wire::Request& request,
                                               base::TimePoint deadline)>
       acquire;
-  /** Records how a permitted request ended; nothing when its outcome is unknown. */
-  std::function<void(const wire::Request& request, const wire::Response* answer)> finish;
+  /**
+   * Records how a permitted request ended; blocks until the deadline at most.
+   * @return The answer to give. "Not run" stays only when that state is durable.
+   */
+  std::function<wire::Response(const wire::Request& request, wire::Response response,
+                               base::TimePoint deadline)>
+      finish;
 };
 
 /** What the gate reports. */
