--- a/libraries/node/node.cc
+++ b/libraries/node/node.cc
@@ -17,6 +17,8 @@
 #include "libraries/node/group_client.h"
 #include "libraries/node/group_hub.h"
 #include "libraries/node/inbound_calls.h"
+#include "libraries/node/ledger_control.h"
+#include "libraries/node/ledger_table.h"
 #include "libraries/node/membership_table.h"
 #include "libraries/node/node_http.h"
 #include "libraries/node/note_control.h"
@@ -137,6 +139,9 @@
   membership::Incarnation incarnation;
 
   ControlChannel channel;
+  GroupHub group_hub;
+  // Before the gate, whose workers use it until they have ended.
+  LedgerTable ledger_table;
   RunningRequests running;
   RoutingTable routes;
   UpstreamGate gate;
@@ -148,9 +153,9 @@
   std::unique_ptr<storage::DataFolder> folder;  // Null on a host without a data folder.
   std::unique_ptr<NoteTable> note_table;
   std::unique_ptr<DisseminationTable> dissemination;
-  GroupHub group_hub;
   GroupClient note_client;
-  std::unique_ptr<NoteControl> note_control;  // Null on a node that is no control host.
+  std::unique_ptr<NoteControl> note_control;      // Null on a node that is no control host.
+  std::unique_ptr<LedgerControl> ledger_control;  // Likewise.
   CallSender sender;
   AttemptLoop attempts;
   RequestEntry entry;
@@ -177,11 +182,12 @@
       incarnation(base::SystemWallClock()),
       channel(settings.node, settings.control_peers,
               [this](std::function<void()> task) { asio::post(context, std::move(task)); }),
+      group_hub(channel),
+      ledger_table(services, group_hub, incarnation.Next()),
       routes(services),
       gate(services, running, MakeGateHooks()),
       inbound(services, gate),
       transport(context, MakeTransportOptions(settings, incarnation.Next()), MakeTransportHooks()),
-      group_hub(channel),
       note_client(services, group_hub, kNoteGroup, ControlHostsOf(settings)),
       sender(services, gate, transport),
       attempts(services, routes, sender,
@@ -212,7 +218,10 @@
   endpoints.peers = transport.Listen(settings.peers);
   members =
       std::make_unique<MembershipTable>(services, incarnation, endpoints.peers, channel, routes);
-  policies.AddListener([this](const notes::Policy& policy) { gate.ApplyPolicy(policy); });
+  policies.AddListener([this](const notes::Policy& policy) {
+    ledger_table.ApplyPolicy(policy);
+    gate.ApplyPolicy(policy);
+  });
   note_table = std::make_unique<NoteTable>(MakeNoteStorage(folder.get()), policies);
   dissemination = std::make_unique<DisseminationTable>(
       services, incarnation.current(), endpoints.peers, *note_table, MakeDisseminationHooks());
@@ -258,10 +267,7 @@
     }
     return routes.WorstAlong(policies.current()->FindCallsBelow(data->service));
   };
-  hooks.once.acquire = [](const wire::Request&, base::TimePoint) {
-    return std::optional<wire::Response>();
-  };
-  hooks.once.finish = [](const wire::Request&, const wire::Response*) {};
+  hooks.once = ledger_table.Hooks();
   return hooks;
 }
 
@@ -275,6 +281,8 @@
           [this](const note_log::Note& note) { dissemination->Accept(note); },
           [this](const note_log::PolicyChain& chain) { dissemination->AcceptSnapshot(chain); }});
   note_control->Start();
+  ledger_control = std::make_unique<LedgerControl>(services, *folder, group_hub);
+  ledger_control->Start();
 }
 
 DisseminationHooks Node::State::MakeDisseminationHooks() {
@@ -300,8 +308,10 @@
   timers.SubscribeEvery(kMembershipTick, [this](base::TimePoint) { members->Tick(); });
   timers.SubscribeEvery(kControlTick, [this](base::TimePoint) {
     note_client.Tick();
+    ledger_table.Tick();
     if (note_control != nullptr) {
       note_control->Tick();
+      ledger_control->Tick();
     }
   });
   timers.SubscribeEvery(kDisseminationTick, [this](base::TimePoint) { dissemination->Tick(); });
@@ -360,6 +370,7 @@
     return;
   }
   is_stopped = true;
+  ledger_table.Stop();
   if (operator_server != nullptr) {
     operator_server->Stop();
   }
@@ -367,6 +378,7 @@
     driver.Stop();
   }
   // Hands leadership over while messages still travel.
+  ledger_control.reset();
   note_control.reset();
   caller_server.Stop();
   local_server.Stop();
--- a/tests/node/test_node.cc
+++ b/tests/node/test_node.cc
@@ -36,7 +36,7 @@
 
 OnceHooks PermitAll() {
   return {[](const wire::Request&, base::TimePoint) { return std::optional<wire::Response>(); },
-          [](const wire::Request&, const wire::Response*) {}};
+          [](const wire::Request&, wire::Response response, base::TimePoint) { return response; }};
 }
 
 TestNode::TestNode(const std::string& name, OnceHooks once, const std::string& zone)
--- a/tests/node/upstream_gate_test.cc
+++ b/tests/node/upstream_gate_test.cc
@@ -187,9 +187,10 @@
     }
     return other;
   };
-  once.finish = [&](const wire::Request&, const wire::Response* answer) {
+  once.finish = [&](const wire::Request&, wire::Response response, base::TimePoint) {
     ++finished;
-    recorded += answer != nullptr ? 1 : 0;
+    recorded += response.outcome == wire::Outcome::kRan ? 1 : 0;
+    return response;
   };
   TestNode node("n", once);
   node.ApplyNote(kOnceNote);
@@ -213,8 +214,9 @@
 TEST(UpstreamGateTest, CutAnswerMeansUnknown) {
   std::atomic<int> unknown = 0;
   OnceHooks once = PermitAll();
-  once.finish = [&](const wire::Request&, const wire::Response* answer) {
-    unknown += answer == nullptr ? 1 : 0;
+  once.finish = [&](const wire::Request&, wire::Response response, base::TimePoint) {
+    unknown += response.outcome == wire::Outcome::kUnknown ? 1 : 0;
+    return response;
   };
   const RawUpstream upstream("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort");
   TestNode node("n", once);
