--- a/tests/node/test_node.h
+++ b/tests/node/test_node.h
@@ -1,6 +1,7 @@
 #ifndef BORAGELOFT_TESTS_NODE_TEST_NODE_H_
 #define BORAGELOFT_TESTS_NODE_TEST_NODE_H_
 
+#include <atomic>
 #include <future>
 #include <initializer_list>
 #include <memory>
@@ -55,9 +56,13 @@
   /** Runs before each report of the gate is recorded. Set it before the first one. */
   std::function<void()> before_change;
 
+  /** Moves the clock of this node forward. */
+  void Advance(base::Duration time) { clock_offset_ += time.count(); }
+
   /** Runs when a note is in force and before the gate applies it. */
   std::function<void()> before_apply;
 
+  std::atomic<std::int64_t> clock_offset_ = 0;  // Nanoseconds.
   settings::NodeSettings settings;
   asio::io_context context;
   asio::executor_work_guard<asio::io_context::executor_type> work{asio::make_work_guard(context)};
