--- a/libraries/settings/ini_document.cc
+++ b/libraries/settings/ini_document.cc
@@ -65,7 +65,8 @@
     if (!text.empty() && text.front() == '[') {
       text = BeginSection(text);
     }
-    std::memcpy(buffer, text.data(), text.size());
+    // An empty view has no data to copy from.
+    std::copy(text.begin(), text.end(), buffer);
     buffer[text.size()] = '\n';
     buffer[text.size() + 1] = '\0';
     return buffer;
