Tests: Keep what node test upstreams use until the nodes are gone

Cause: ThreadSanitizer reported three races between upstreams that still ran and the stack of a test body that had ended, all in request_path_test.cc. Change: the fixture holds these variables. Conclusion: RequestPathTest passes 12 of 12 with the plain build; not run again with ThreadSanitizer.

--- a/tests/node/request_path_test.cc
+++ b/tests/node/request_path_test.cc
@@ -95,6 +95,7 @@
   // Used by upstreams that may still run when a test ends, so they outlive the nodes.
   std::counting_semaphore<> entered_{0};
   std::atomic<bool> is_released_ = false;
+  std::atomic<bool> is_slow_ = false;
   std::atomic<int> runs_ = 0;
   TestNode entry_{"entry"};
   TestNode near_{"near"};
@@ -256,14 +257,13 @@
 
 // Guards R3: requests under one key whose headers differ are different lookups.
 TEST_F(RequestPathTest, LookupsWithOtherHeadersAreNotJoined) {
-  std::atomic<int> entered = 0;
   near_.Serve(
       "s",
-      [&](const http::HttpRequest& request) {
-        ++entered;
-        entered.notify_all();
-        for (int seen = entered; seen < 2; seen = entered) {
-          entered.wait(seen);
+      [this](const http::HttpRequest& request) {
+        ++runs_;
+        runs_.notify_all();
+        for (int seen = runs_; seen < 2; seen = runs_) {
+          runs_.wait(seen);
         }
         return http::HttpResponse{200, {}, http::FindHeader(request.headers, "accept")};
       },
@@ -282,25 +282,23 @@
 
 // Guards against a slow upstream that holds up a request for which hedging is on.
 TEST_F(RequestPathTest, HedgeAnswersForASlowUpstream) {
-  std::atomic<bool> is_slow = false;
-  std::atomic<int> hedged = 0;
-  near_.Serve("hedged", [&](const http::HttpRequest& request) {
-    while (is_slow && !request.is_caller_gone()) {
+  near_.Serve("hedged", [this](const http::HttpRequest& request) {
+    while (is_slow_ && !request.is_caller_gone()) {
       std::this_thread::yield();
     }
     return EchoTarget(request);
   });
-  far_.Serve("hedged", [&](const http::HttpRequest& request) {
-    ++hedged;
+  far_.Serve("hedged", [this](const http::HttpRequest& request) {
+    ++runs_;
     return EchoTarget(request);
   });
   entry_.Learn("hedged", {&near_, &far_});
   EXPECT_EQ(Call("/hedged/fast").status, 200);
-  const int before = hedged;
-  is_slow = true;
+  const int before = runs_;
+  is_slow_ = true;
   EXPECT_EQ(Call("/hedged/slow").body, "GET /slow");
-  EXPECT_EQ(hedged, before + 1);
-  is_slow = false;
+  EXPECT_EQ(runs_, before + 1);
+  is_slow_ = false;
 }
 
 // Guards R1 over a chain: a failing deep service costs no more extra runs than the root's
