--- a/tests/node/control_channel_test.cc
+++ b/tests/node/control_channel_test.cc
@@ -27,10 +27,10 @@
 // Guards against a message to this node that runs within the sender's locks.
 TEST_F(ControlChannelTest, OwnMessagesArriveLater) {
   std::vector<std::string> received;
-  channel_.Handle(wire::Channel::kNotes, [&](const std::string& from, const std::string& payload) {
+  channel_.Handle(wire::Channel::kMembership, [&](const std::string& from, const std::string& payload) {
     received.push_back(from + " " + payload);
   });
-  channel_.Send("self", wire::Channel::kNotes, "a");
+  channel_.Send("self", wire::Channel::kMembership, "a");
   EXPECT_TRUE(received.empty());
   RunPosted();
   EXPECT_EQ(received, std::vector<std::string>{"self a"});
@@ -39,11 +39,11 @@
 // Guards against an end of the process by a malformed message: the handler of notes parses numbers
 // with the standard library, whose errors are none of base::Error.
 TEST_F(ControlChannelTest, MalformedMessageIsDropped) {
-  channel_.Handle(wire::Channel::kNotes, [](const std::string&, const std::string& payload) {
+  channel_.Handle(wire::Channel::kMembership, [](const std::string&, const std::string& payload) {
     static_cast<void>(std::stoull(payload));
   });
-  EXPECT_NO_THROW(channel_.Receive("peer", wire::Channel::kNotes, "no number"));
-  EXPECT_NO_THROW(channel_.Receive("peer", wire::Channel::kNotes, "99999999999999999999999999"));
+  EXPECT_NO_THROW(channel_.Receive("peer", wire::Channel::kMembership, "no number"));
+  EXPECT_NO_THROW(channel_.Receive("peer", wire::Channel::kMembership, "99999999999999999999999999"));
 }
 
 // Guards against a message of a newer node that ends this one.
