Ledger: Withdraw requests whose grant was never asked for

Without a quorum, non-idempotent requests must be refused with not-run, but a waiting key could only end through a release, which itself needs the quorum.

PermitGate::Withdraw() forgets a waiting key whose grant command was not sent and has not been handed out again by PendingCommands(). The random run withdraws one in twenty attempts, sends the command all the same, and requires that the attempt never runs.

--- a/libraries/ledger/permit_gate.cc
+++ b/libraries/ledger/permit_gate.cc
@@ -220,11 +220,24 @@
   return releases;
 }
 
-std::vector<Command> PermitGate::PendingCommands() const {
+WithdrawDecision PermitGate::Withdraw(const PermitId& id) {
+  const auto found = entries_.find(id.key);
+  if (found == entries_.end() || id != IdOf(found->first, found->second) ||
+      found->second.state != PermitState::kWaiting || found->second.is_resent) {
+    return WithdrawDecision::kTooLate;
+  }
+  // Should the command have been sent after all, its grant names a number that is never used.
+  Erase(found);
+  return WithdrawDecision::kWithdrawn;
+}
+
+std::vector<Command> PermitGate::PendingCommands() {
   std::vector<Command> commands;
   commands.reserve(pending_.size());
   for (const IdempotencyKey& key : pending_) {
-    commands.push_back(CommandFor(key, entries_.at(key)));
+    Entry& entry = entries_.at(key);
+    entry.is_resent = true;
+    commands.push_back(CommandFor(key, entry));
   }
   return commands;
 }
--- a/libraries/ledger/permit_gate.h
+++ b/libraries/ledger/permit_gate.h
@@ -85,6 +85,12 @@
   kUncertain,   ///< The connection broke or the time ended after a byte may have been sent.
 };
 
+/** Whether a request could be withdrawn. */
+enum class WithdrawDecision {
+  kWithdrawn,  ///< This attempt will never run; the gate has forgotten it.
+  kTooLate,    ///< The grant may have been asked for; only a release can end it as not run.
+};
+
 /** Settings of a gate. */
 struct PermitGateOptions {
   /** Most keys held; further requests are refused with kFull. */
@@ -147,8 +153,16 @@
    */
   std::vector<Command> Expire(base::WallTime now);
 
+  /**
+   * Takes back a request whose grant command was not sent, because no quorum can be reached. The
+   * caller may then hear "not run" for this attempt. An earlier attempt through another node may
+   * still hold the grant; this gate cannot know that without the ledger.
+   * @param id Permit id of the grant command that OfferRequest() returned.
+   */
+  WithdrawDecision Withdraw(const PermitId& id);
+
   /** @return All commands that the ledger has not answered, to be sent again from time to time. */
-  std::vector<Command> PendingCommands() const;
+  std::vector<Command> PendingCommands();
 
   /** @return State of a key, or nothing if it is not held. */
   std::optional<PermitState> StateOf(const IdempotencyKey& key) const;
@@ -165,6 +179,7 @@
     base::WallTime deadline;
     std::optional<std::string> answer;
     bool is_pending = true;             // A command waits for the ledger's answer.
+    bool is_resent = false;             // PendingCommands() has returned the grant command.
     std::optional<base::WallTime> due;  // When Expire() looks at the entry next.
   };
   using Entries = std::unordered_map<IdempotencyKey, Entry, IdempotencyKeyHash>;
--- a/tests/ledger/ledger_run.cc
+++ b/tests/ledger/ledger_run.cc
@@ -1,5 +1,7 @@
 #include "tests/ledger/ledger_run.h"
 
+#include <algorithm>
+
 namespace borageloft::ledger {
 
 namespace {
@@ -78,7 +80,12 @@
   const Offer offer = gate.gate->OfferRequest(caller.key, digest, deadline, NowAt(gate));
   switch (offer.decision) {
     case OfferDecision::kAskGrant:
+      // The command is sometimes sent although it is withdrawn: its grant must have no effect.
       Send(index, Command(*offer.grant));
+      if (Draw(20) == 0 &&
+          gate.gate->Withdraw(offer.grant->permit) == WithdrawDecision::kWithdrawn) {
+        withdrawn_[caller.key].push_back(offer.grant->permit);
+      }
       break;
     case OfferDecision::kNotRun:
       ObserveNotRun(caller.key);
@@ -107,6 +114,9 @@
     ++counts_.refused_permits;
     return;
   }
+  const std::vector<PermitId>& withdrawn = withdrawn_[permit.id.key];
+  Require(std::find(withdrawn.begin(), withdrawn.end(), permit.id) == withdrawn.end(),
+          "a withdrawn attempt never runs", permit.id.key);
   gate.running.insert(permit.id.key);
 }
 
--- a/tests/ledger/ledger_run.h
+++ b/tests/ledger/ledger_run.h
@@ -87,6 +87,7 @@
   std::map<IdempotencyKey, int> runs_;
   std::set<IdempotencyKey> told_not_run_;
   std::map<IdempotencyKey, PermitId> grants_;
+  std::map<IdempotencyKey, std::vector<PermitId>> withdrawn_;
   RunCounts counts_;
 };
 
--- a/tests/ledger/ledger_test.cc
+++ b/tests/ledger/ledger_test.cc
@@ -244,6 +244,20 @@
   EXPECT_EQ(later.HandleResult(Apply(state_, *offer.grant), kNow).decision, GateDecision::kUnknown);
 }
 
+// Guards against "not run" for a withdrawn attempt whose grant was asked for, and against its use.
+TEST_F(PermitGateTest, WithdrawsOnlyUnsentRequests) {
+  const Offer unsent = gate_.OfferRequest(key_, kDigest, kNow + seconds(1), kNow);
+  EXPECT_EQ(gate_.Withdraw(unsent.grant->permit), WithdrawDecision::kWithdrawn);
+  EXPECT_EQ(gate_.Withdraw(unsent.grant->permit), WithdrawDecision::kTooLate);
+  const Offer resent = gate_.OfferRequest(key_, kDigest, kNow + seconds(1), kNow);
+  EXPECT_EQ(gate_.HandleResult(Apply(state_, *unsent.grant), kNow).decision,
+            GateDecision::kIgnored);
+  EXPECT_EQ(gate_.PendingCommands().size(), 1U);
+  EXPECT_EQ(gate_.Withdraw(resent.grant->permit), WithdrawDecision::kTooLate);
+  EXPECT_EQ(gate_.HandleResult(Apply(state_, *resent.grant), kNow).decision,
+            GateDecision::kUnknown);
+}
+
 // Guards against unbounded gate memory, and against forgetting a key that is running.
 TEST_F(PermitGateTest, HoldsBoundedKeys) {
   PermitGate gate(kNode, 1, {.maximum_keys = 1, .retention = seconds(1)});
