Storage: Test that a batch costs one write and one sync

Group commit is what lets many grants share one sync; no test noticed a sync for each record. Count the hook calls of an append of 500 records.

--- a/tests/storage/storage_test.cc
+++ b/tests/storage/storage_test.cc
@@ -221,6 +221,27 @@
   });
 }
 
+// Guards against a sync for each record, which would end the benefit of group commit.
+TEST_F(StorageTest, AppendsBatchWithOneSync) {
+  int writes = 0;
+  int syncs = 0;
+  hooks_.write = [&, write = hooks_.write](FileHandle file, std::uint64_t offset,
+                                           std::string_view data) {
+    ++writes;
+    write(file, offset, data);
+  };
+  hooks_.sync = [&, sync = hooks_.sync](FileHandle file) {
+    ++syncs;
+    sync(file);
+  };
+  WithStore([&](GroupStore& store) {
+    writes = syncs = 0;
+    store.log().Append(std::vector<std::string>(500, "record"));
+    EXPECT_EQ(writes, 1);
+    EXPECT_EQ(syncs, 1);
+  });
+}
+
 // Guards against a failed store for an argument that is merely too large.
 TEST_F(StorageTest, RefusesTooLargeRecordAndStaysUsable) {
   WithStore([](GroupStore& store) {
