Tests: Catch two faults that a trial of mutants left unnoticed

Two of the others were real gaps: a surge that begins only at the next arrival, and a record that counts a key only at its third execution. Both have a check now. The third, reuse of a failed connection, changes nothing since the HTTP library closes the connection itself.

--- a/tests/workbench/measures_test.cc
+++ b/tests/workbench/measures_test.cc
@@ -140,6 +140,18 @@
   EXPECT_NEAR(static_cast<double>(arrivals.size()), 8000, 2);
 }
 
+// Guards against a rate that changes only at the next arrival, which delays the start of a surge.
+TEST(ArrivalScheduleTest, SurgeShortensGapInProgress) {
+  LoadOptions options = MakeOptions();
+  options.arrivals = ArrivalProcess::kUniform;
+  options.rate_per_second = 10;
+  options.trigger = TriggerWindow{milliseconds(250), milliseconds(500)};
+  options.surge_multiplier = 4;
+  const auto arrivals = DrawAll(options);
+  // Half of the gap after 0.2 s passes at 10/s, the other half at 40/s.
+  EXPECT_NEAR(std::chrono::duration<double>(arrivals.at(2).intended).count(), 0.2625, 1e-6);
+}
+
 // Guards against a run that exceeds its request limit.
 TEST(ArrivalScheduleTest, EndsAtRequestLimit) {
   LoadOptions options = MakeOptions();
--- a/tests/workbench/stand_in_test.cc
+++ b/tests/workbench/stand_in_test.cc
@@ -115,20 +115,20 @@
   options.record_path = path;
   StandIn stand_in(options);
   HttpCaller caller(stand_in.address());
-  for (const char* key : {"a", "b", "a", "a"}) {
+  for (const char* key : {"a", "b", "c", "a", "a", "b"}) {
     const auto answer = caller.Call(MakeCall("r1", key));
     ASSERT_TRUE(answer.has_value());
     EXPECT_EQ(CheckAnswer(answer->body, "parts", "r1"), AnswerCheck::kWhole);
   }
   const auto record = caller.Call({"GET", "/stand-in/record"});
   const Json::Value json = ParseJson(record->body);
-  EXPECT_EQ(json["executed"], 4);
-  EXPECT_EQ(json["distinct_keys"], 2);
-  EXPECT_EQ(json["repeated_keys"], 1);
+  EXPECT_EQ(json["executed"], 6);
+  EXPECT_EQ(json["distinct_keys"], 3);
+  EXPECT_EQ(json["repeated_keys"], 2);
   EXPECT_EQ(json["executing"], 0);
   std::ifstream file(path);
   EXPECT_EQ(std::string(std::istreambuf_iterator<char>(file), {}),
-            "a parts\nb parts\na parts\na parts\n");
+            "a parts\nb parts\nc parts\na parts\na parts\nb parts\n");
 }
 
 // Guards against faults that are not produced on command or do not end.
