--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -23,9 +23,14 @@
   list(TRANSFORM ARG_DEPENDS PREPEND borageloft_)
   add_executable(${name}_test ${sources})
   target_link_libraries(${name}_test PRIVATE ${ARG_DEPENDS} ${ARG_LINK} GTest::gmock GTest::gtest GTest::gtest_main)
+  # One label only: gtest_discover_tests passes no list on as a property.
+  set(label unit)
+  if(ARG_LABELS)
+    set(label ${ARG_LABELS})
+  endif()
   include(GoogleTest)
   gtest_discover_tests(${name}_test TEST_PREFIX ${name}. DISCOVERY_TIMEOUT 60
-    PROPERTIES TIMEOUT 90 LABELS "unit;${ARG_LABELS}")
+    PROPERTIES TIMEOUT 90 LABELS ${label})
 endfunction()
 
 # borageloft_fuzz(<name> <source> [DEPENDS <library>...])
