Tests: Let the worker pool's test own its promise longer

Cause: ThreadSanitizer showed that the promise was destroyed before the pool joined the thread that waits for it. Change: declared first. Ruled out: the pool itself; all other 168 concurrent tests ran without a report.

--- a/tests/base/base_test.cc
+++ b/tests/base/base_test.cc
@@ -80,8 +80,8 @@
 
 // Guards against a task that is accepted for running at once and then waits.
 TEST_F(BaseTest, WorkerPoolRefusesWhenAllThreadsAreBusy) {
+  std::promise<void> release;  // Outlives the thread of the pool that waits for it.
   WorkerPool pool(1);
-  std::promise<void> release;
   ASSERT_TRUE(pool.TryPost([&] { release.get_future().wait(); }));
   while (pool.TryPost([] {})) {
   }
