--- a/tests/node/request_path_test.cc
+++ b/tests/node/request_path_test.cc
@@ -235,10 +235,12 @@
   EXPECT_EQ(runs_, 2);
 }
 
-// Guards R3: the answer to a request that was given up reaches no other request.
+// Guards R3: the answer to a request that was given up reaches no other request; and R4: it is
+// called not run only if it never reached the upstream, now or later.
 TEST_F(RequestPathTest, LateAnswersReachNobody) {
   near_.Serve("once", [this](const http::HttpRequest& request) {
     if (request.target == "/late") {
+      ++runs_;
       is_released_.wait(false);
     }
     return EchoTarget(request);
@@ -246,13 +248,15 @@
   entry_.Learn("once", {&near_});
   http::Headers headers = kKey;
   headers.push_back({http::kTimeoutHeader, "500"});
-  EXPECT_NE(OutcomeOf(Call("/once/late", headers)), "ran");
+  const std::string outcome = OutcomeOf(Call("/once/late", headers));
   is_released_ = true;
   is_released_.notify_all();
   for (int i = 0; i < 20; ++i) {
     const std::string path = "/" + std::to_string(i);
     EXPECT_EQ(Call("/once" + path, kKey).body, "GET " + path);
   }
+  // On a slow machine the request may be given up before it is sent, or on its way.
+  EXPECT_TRUE(outcome == "unknown" || (outcome == "not-run" && runs_ == 0)) << outcome;
 }
 
 // Guards R3: requests under one key whose headers differ are different lookups.
