Mesh: Find the upstream after a start, and serve it during the first part of a drain

A draining node withdrew its upstream at once and ended 2.8 s later; the restarted one refused everything as instance_gone until the next heartbeat, up to 1.5 s. After a power loss a connection to a host that was still dark blocked the node for its connect timeout of 700 ms. Change: a restarted node asks its upstream's health path once a declaration is in force and adopts the instance that answers as healthy; a heartbeat replaces it. A drain keeps the upstream in service for 1.3 s and refuses other nodes' new work as not run from 2 s on. Nodes give up a connect after 300 ms. Ruled out: taking the instance from the control hosts' registry; a leave that was acknowledged just before a kill may not have reached them.

--- a/libraries/declaration/routes.h
+++ b/libraries/declaration/routes.h
@@ -49,6 +49,8 @@
   std::string name;
   /** Connections that one upstream takes from all callers; 0 if not stated. */
   std::uint32_t connections = 0;
+  /** Path at which an upstream tells its health; empty if not stated. */
+  std::string health_path = {};
 };
 
 /** Bounds on what callers may send. Zero means not stated. */
--- a/libraries/directory/local_instance.cc
+++ b/libraries/directory/local_instance.cc
@@ -35,6 +35,19 @@
   return HeartbeatOutcome::kTaken;
 }
 
+bool LocalInstance::Adopt(const std::string& instance, std::uint32_t slots, base::TimePoint now) {
+  if (has_been_heard() || instance.empty()) {
+    return false;
+  }
+  heartbeat_ = {};
+  heartbeat_.instance = instance;
+  heartbeat_.service = service_;
+  heartbeat_.slots = slots;
+  heard_at_ = now;
+  is_suspect_ = false;
+  return true;
+}
+
 bool LocalInstance::HandleLeave(const std::string& instance, base::TimePoint now) {
   if (instance.empty() || instance != heartbeat_.instance) {
     return false;
--- a/libraries/directory/local_instance.h
+++ b/libraries/directory/local_instance.h
@@ -42,6 +42,13 @@
 
   HeartbeatOutcome HandleHeartbeat(const Heartbeat& heartbeat, base::TimePoint now);
 
+  /**
+   * Takes an instance that was found at the upstream's address and has said nothing itself since
+   * this process started. Any heartbeat replaces what is taken here.
+   * @return Whether it was taken; false once an instance was heard.
+   */
+  bool Adopt(const std::string& instance, std::uint32_t slots, base::TimePoint now);
+
   /** The instance @p instance said that it leaves. @return Whether it is the one known. */
   bool HandleLeave(const std::string& instance, base::TimePoint now);
 
@@ -56,6 +63,8 @@
   const std::string& instance() const { return heartbeat_.instance; }
   const std::string& service() const { return service_; }
   std::uint32_t slots() const { return heartbeat_.slots; }
+  /** @return Whether an instance was heard or found since the start. */
+  bool has_been_heard() const { return heard_at_ != base::TimePoint{}; }
   bool is_known() const { return !heartbeat_.instance.empty(); }
   bool is_suspect() const { return is_suspect_; }
   /**
--- a/libraries/mesh/mesh_node.cc
+++ b/libraries/mesh/mesh_node.cc
@@ -25,6 +25,13 @@
 // Time for which a draining node goes on although it has nothing to do: callers are sent elsewhere
 // after two failed readiness checks a second apart.
 constexpr std::chrono::milliseconds kShortestDrain{2800};
+// Part of a drain in which the own upstream still takes work from other nodes. What is left until
+// the shortest drain ends suffices for word of the withdrawal to spread and for the work begun.
+constexpr std::chrono::milliseconds kServingDrain{1300};
+// Nodes that have not heard of the withdrawal by then are refused and turn to other instances.
+constexpr std::chrono::milliseconds kTakingDrain{2000};
+// Time for an upstream to tell its health.
+constexpr std::chrono::milliseconds kHealthTimeout{1000};
 // Part of the drain time that is kept for ending.
 constexpr std::chrono::milliseconds kDrainMargin{500};
 constexpr std::size_t kCallBodyBytes = 64 * 1024;
@@ -80,6 +87,13 @@
         return pool_->Run(std::move(request), deadline, std::move(handler));
       },
       log_);
+  InstanceProbeHooks probe_hooks;
+  probe_hooks.ask = [this](const std::string& path, InstanceProbeHooks::AnswerHandler handler) {
+    pool_->AskHealth(path, clock_() + kHealthTimeout, std::move(handler));
+  };
+  probe_hooks.on_found = [this] { PublishRecord(); };
+  probe_ = std::make_unique<InstanceProbe>(instance_, dialect_.headers, std::move(probe_hooks),
+                                           clock_());
   request_path::EntryOptions entry_options;
   entry_options.service = settings.service;
   entry_options.names = dialect_.headers;
@@ -321,6 +335,12 @@
       limits.idle_timeout = stated.idle_timeout;
     }
     callers_->set_limits(limits);
+    for (const declaration::ServiceEntry& service : declaration.services) {
+      if (service.name == loop_.settings().service) {
+        health_path_ = service.health_path;
+      }
+    }
+    CheckInstance();
     base::Log(base::LogLevel::kInfo, "declaration_in_force",
               {{"version", static_cast<Json::UInt64>(version)},
                {"routes", static_cast<Json::UInt64>(declaration.routes.size())}});
@@ -350,7 +370,7 @@
     record.service = instance_.service();
     record.instance = instance_.instance();
     record.slots = instance_.slots();
-    const bool is_leaving = instance_.leaving_since() || draining_since_;
+    const bool is_leaving = instance_.leaving_since() || IsWithdrawn();
     record.state =
         is_leaving ? directory::InstanceState::kLeaving : directory::InstanceState::kServing;
     record.remote_calls = entry_->RemoteCalls(gate_->counters().calls_started);
@@ -366,7 +386,14 @@
   HandleRecords();
 }
 
+bool MeshNode::IsWithdrawn() const {
+  return draining_since_ && clock_() - *draining_since_ >= kServingDrain;
+}
+
 void MeshNode::CheckInstance() {
+  if (!draining_since_) {
+    probe_->Check(health_path_, clock_());
+  }
   const std::string instance = instance_.instance();
   if (instance_.ExpireIfSilent(clock_())) {
     base::Log(base::LogLevel::kWarning, "instance_silent", {{"instance", instance}});
@@ -396,6 +423,9 @@
     return;
   }
   const base::Duration since = clock_() - *draining_since_;
+  if (since >= kTakingDrain) {
+    gate_->StopTaking();
+  }
   if (since >= kShortestDrain) {
     // A request taken later might not end before the process has to.
     entry_->StopTaking();
--- a/libraries/mesh/mesh_node.h
+++ b/libraries/mesh/mesh_node.h
@@ -8,6 +8,7 @@
 
 #include "libraries/mesh/dialect.h"
 #include "libraries/mesh/directory_sync.h"
+#include "libraries/mesh/instance_probe.h"
 #include "libraries/mesh/mesh_settings.h"
 #include "libraries/mesh/node_loop.h"
 
@@ -49,6 +50,7 @@
   void HandleDeclaration(std::uint64_t version, const std::string& text);
   void HandleRecords();
   void PublishRecord();
+  bool IsWithdrawn() const;
   void CheckInstance();
   void CheckDrained();
   void RespondMetrics(const http_stream::Exchange& exchange);
@@ -65,6 +67,8 @@
   directory::InstanceRecord record_;
   std::unique_ptr<request_path::UpstreamPool> pool_;
   std::unique_ptr<request_path::LocalGate> gate_;
+  std::unique_ptr<InstanceProbe> probe_;
+  std::string health_path_;  // Of the local upstream, by the declaration in force.
   std::unique_ptr<request_path::Entry> entry_;
   std::unique_ptr<DirectorySync> sync_;
   std::unique_ptr<transport::PeerTransport> peers_;
--- a/libraries/mesh/peer_address.cc
+++ b/libraries/mesh/peer_address.cc
@@ -8,7 +8,9 @@
 // above the pauses of a busy host.
 constexpr std::chrono::milliseconds kPeerPing{200};
 constexpr std::chrono::milliseconds kPeerSilence{1200};
-constexpr std::chrono::milliseconds kPeerConnect{700};
+// A host that has no power drops the first packet, and the system sends the next one a second
+// later; a new attempt is sooner there. Above two round trips between regions.
+constexpr std::chrono::milliseconds kPeerConnect{300};
 constexpr std::size_t kFrameBytes = std::size_t{12} << 20U;
 constexpr std::size_t kQueueBytes = std::size_t{24} << 20U;
 
--- a/libraries/request_path/header_names.h
+++ b/libraries/request_path/header_names.h
@@ -22,6 +22,9 @@
   std::string caller_service = "Borageloft-Caller-Service";
   /** Requests running, requests waiting and slots of the upstream. */
   std::string upstream_load = "Borageloft-Upstream-Load";
+  /** Set by an upstream on its health answers: the instance that answers. Empty if the upstreams
+   * set none. */
+  std::string instance = "";
 };
 
 }  // namespace borageloft::request_path
--- a/libraries/request_path/local_gate.cc
+++ b/libraries/request_path/local_gate.cc
@@ -89,6 +89,9 @@
   if (instance_.is_suspect()) {
     return Refusal::kInstanceUnreachable;
   }
+  if (!is_taking_) {
+    return Refusal::kInstanceLeaving;
+  }
   if (instance_.leaving_since() && now - *instance_.leaving_since() >= options_.leave_grace) {
     return Refusal::kInstanceLeaving;
   }
--- a/libraries/request_path/local_gate.h
+++ b/libraries/request_path/local_gate.h
@@ -80,6 +80,9 @@
   /** Gives up a request. Its handler is told whether it may have run, unless it has ended. */
   void Cancel(GateTicket ticket);
 
+  /** Refuses every further request as not run; those that run go on. */
+  void StopTaking() { is_taking_ = false; }
+
   /** @return Load to report with answers and in the directory. */
   wire::LoadReport Load() const;
 
@@ -141,6 +144,7 @@
   std::unordered_map<std::string, std::uint64_t> running_ids_;
   std::function<admission::AdmissionLevel()> downstream_level_;
   admission::LevelController level_;
+  bool is_taking_ = true;
   std::size_t running_ = 0;
   std::uint64_t next_id_ = 1;
   double service_time_ms_ = 0;
--- a/libraries/request_path/upstream_connection.cc
+++ b/libraries/request_path/upstream_connection.cc
@@ -25,8 +25,9 @@
       idle_limit_(pool.options_.idle_limit) {}
 
 void UpstreamConnection::Run(wire::Request request, base::TimePoint deadline,
-                             ResponseHandler handler) {
+                             ResponseHandler handler, AnswerCheck check) {
   VERIFY(!handler_ && !is_closed_);
+  check_ = check;
   handler_ = std::move(handler);
   deadline_ = deadline;
   message_.method = std::move(request.method);
@@ -190,8 +191,8 @@
     return;
   }
   const bool is_not_run = http_stream::FindField(message.fields, names.not_run) != nullptr;
-  const bool is_sealed =
-      names.seal.empty() || http_stream::FindField(message.fields, names.seal) != nullptr;
+  const bool is_sealed = check_ == AnswerCheck::kNone || names.seal.empty() ||
+                         http_stream::FindField(message.fields, names.seal) != nullptr;
   if (message.status < kFirstFailure && !is_not_run && !is_sealed) {
     ++pool_->counters_.garbled;
     Fail(wire::Outcome::kUnknown, Refusal::kUpstreamGarbled);
--- a/libraries/request_path/upstream_connection.h
+++ b/libraries/request_path/upstream_connection.h
@@ -11,13 +11,20 @@
 
 namespace borageloft::request_path {
 
+/** Whether a success must bear the upstream's seal. */
+enum class AnswerCheck {
+  kSeal,
+  kNone,  // For answers about the upstream itself.
+};
+
 /** One connection to the local upstream. */
 class UpstreamConnection : public std::enable_shared_from_this<UpstreamConnection> {
  public:
   explicit UpstreamConnection(UpstreamPool& pool);
 
   /** Sends a request; the connection must be new or idle. */
-  void Run(wire::Request request, base::TimePoint deadline, ResponseHandler handler);
+  void Run(wire::Request request, base::TimePoint deadline, ResponseHandler handler,
+           AnswerCheck check = AnswerCheck::kSeal);
 
   /** Closes the connection without an answer to a request in progress. */
   void Close();
@@ -46,6 +53,7 @@
   std::array<char, 16 * 1024> read_buffer_{};
   std::string output_;
   ResponseHandler handler_;
+  AnswerCheck check_ = AnswerCheck::kSeal;
   std::string request_id_;
   base::TimePoint deadline_{};
   http_stream::RequestMessage message_;
--- a/libraries/request_path/upstream_pool.cc
+++ b/libraries/request_path/upstream_pool.cc
@@ -48,6 +48,27 @@
   };
 }
 
+void UpstreamPool::AskHealth(
+    const std::string& path, base::TimePoint deadline,
+    std::function<void(const http_stream::ResponseMessage& answer)> handler) {
+  wire::Request request;
+  request.method = "GET";
+  request.path = path;
+  request.headers.push_back({"Host", settings::FormatEndpoint(options_.endpoint)});
+  const auto connection = std::make_shared<UpstreamConnection>(*this);
+  all_.insert(connection);
+  ++counters_.connections_opened;
+  connection->Run(
+      std::move(request), deadline,
+      [handler = std::move(handler)](wire::Response response) {
+        http_stream::ResponseMessage answer;
+        answer.status = response.status;
+        answer.fields = std::move(response.headers);
+        handler(answer);
+      },
+      AnswerCheck::kNone);
+}
+
 std::shared_ptr<UpstreamConnection> UpstreamPool::TakeIdle() {
   const base::TimePoint now = base::SystemClock()();
   while (!idle_.empty()) {
--- a/libraries/request_path/upstream_pool.h
+++ b/libraries/request_path/upstream_pool.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <vector>
 
+#include "libraries/http_stream/http_stream.h"
 #include "libraries/request_path/header_names.h"
 #include "libraries/request_path/local_gate.h"
 #include "libraries/settings/settings.h"
@@ -61,6 +62,13 @@
    */
   CancelHook Run(wire::Request request, base::TimePoint deadline, ResponseHandler handler);
 
+  /**
+   * Asks the upstream how it is.
+   * @param handler Receives the answer, with status 0 if there was none.
+   */
+  void AskHealth(const std::string& path, base::TimePoint deadline,
+                 std::function<void(const http_stream::ResponseMessage& answer)> handler);
+
   /** Closes the idle connections, for example because the upstream was replaced. */
   void DropIdle();
 
--- a/tests/directory/directory_test.cc
+++ b/tests/directory/directory_test.cc
@@ -48,6 +48,30 @@
   EXPECT_TRUE(instance_.leaving_since());
 }
 
+// Guards against a restarted node that keeps its upstream without work until the next heartbeat,
+// and against a found instance that replaces what the instance said itself.
+TEST_F(LocalInstanceTest, AdoptsAnInstanceOnlyBeforeItsFirstHeartbeat) {
+  EXPECT_FALSE(instance_.Adopt("", 4, now_));
+  EXPECT_TRUE(instance_.Adopt("i-1", 4, now_));
+  EXPECT_EQ(instance_.instance(), "i-1");
+  EXPECT_EQ(instance_.service(), "parts");
+  EXPECT_EQ(instance_.slots(), 4U);
+  EXPECT_FALSE(instance_.leaving_since());
+  EXPECT_EQ(Beat("i-1", 10, 3), HeartbeatOutcome::kTaken);
+  EXPECT_EQ(instance_.slots(), 8U);
+  EXPECT_FALSE(instance_.Adopt("i-2", 4, now_));
+  now_ += seconds(4);
+  instance_.ExpireIfSilent(now_);
+  EXPECT_FALSE(instance_.Adopt("i-2", 4, now_));
+}
+
+// Guards against work for an instance that told an earlier process of this node that it leaves.
+TEST_F(LocalInstanceTest, AnAdoptedInstanceThatIsHeardLeavingHasLeftLongAgo) {
+  instance_.Adopt("i-1", 4, now_);
+  Beat("i-1", 10, 3, InstanceState::kLeaving);
+  EXPECT_EQ(instance_.leaving_since(), base::TimePoint{});
+}
+
 // Guards against an instance that crashed without a word and is kept.
 TEST_F(LocalInstanceTest, ForgetsASilentInstance) {
   Beat("i-1", 10, 1);
--- a/tests/request_path/local_gate_test.cc
+++ b/tests/request_path/local_gate_test.cc
@@ -81,6 +81,20 @@
   std::unique_ptr<LocalGate> gate_;
 };
 
+// Guards against work that reaches a node which is about to end, and against a cut of work begun.
+TEST_F(LocalGateTest, StopsTakingAndFinishesWhatRuns) {
+  const auto first = Submit("a").second;
+  gate_->StopTaking();
+  const auto second = Submit("b").second;
+  ASSERT_TRUE(second->has_value());
+  EXPECT_EQ((*second)->outcome, wire::Outcome::kNotRun);
+  EXPECT_EQ((*second)->reason, TextOf(Refusal::kInstanceLeaving));
+  EXPECT_FALSE(first->has_value());
+  Finish(0);
+  ASSERT_TRUE(first->has_value());
+  EXPECT_EQ((*first)->outcome, wire::Outcome::kRan);
+}
+
 // Guards against more requests at the upstream than it has slots, and against an order that
 // forgets importance.
 TEST_F(LocalGateTest, StartsNoMoreThanTheSlotsAndTheImportantFirst) {
--- /dev/null
+++ b/tests/request_path/upstream_pool_test.cc
@@ -0,0 +1,74 @@
+#include <gtest/gtest.h>
+
+#include "libraries/request_path/request_path.h"
+
+namespace borageloft::request_path {
+namespace {
+
+using asio::ip::tcp;
+
+// An upstream on loopback that gives every request the same answer.
+class UpstreamPoolTest : public ::testing::Test {
+ protected:
+  void SetUp() override {
+    names_.seal = "Seal";
+    names_.instance = "Instance";
+    UpstreamPoolOptions options;
+    options.endpoint = {"127.0.0.1", acceptor_.local_endpoint().port()};
+    pool_ = std::make_unique<UpstreamPool>(
+        context_, options, names_, [] {}, [] {});
+    acceptor_.async_accept(socket_, [this](const asio::error_code& error) {
+      ASSERT_FALSE(error);
+      asio::async_read_until(socket_, asio::dynamic_buffer(request_), "\r\n\r\n",
+                             [this](const asio::error_code&, std::size_t) {
+                               asio::async_write(socket_, asio::buffer(answer_),
+                                                 [](const asio::error_code&, std::size_t) {});
+                             });
+    });
+  }
+
+  base::TimePoint Deadline() const { return base::SystemClock()() + std::chrono::seconds(30); }
+  template <typename Done>
+  void RunUntil(const Done& done) {
+    while (!done()) {
+      context_.run_one();
+    }
+  }
+
+  asio::io_context context_;
+  tcp::acceptor acceptor_{context_, tcp::endpoint(asio::ip::address_v4::loopback(), 0)};
+  tcp::socket socket_{context_};
+  HeaderNames names_;
+  std::string request_;
+  std::string answer_ =
+      "HTTP/1.1 200 OK\r\nInstance: i-7\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok";
+  std::unique_ptr<UpstreamPool> pool_;
+};
+
+// Guards against a health answer that is refused because it is no sealed answer to a request.
+TEST_F(UpstreamPoolTest, PassesOnAHealthAnswerWithoutSeal) {
+  std::optional<http_stream::ResponseMessage> got;
+  pool_->AskHealth("/health", Deadline(),
+                   [&](const http_stream::ResponseMessage& answer) { got = answer; });
+  RunUntil([&] { return got.has_value(); });
+  EXPECT_EQ(got->status, 200U);
+  ASSERT_NE(http_stream::FindField(got->fields, "Instance"), nullptr);
+  EXPECT_EQ(request_.substr(0, 20), "GET /health HTTP/1.1");
+}
+
+// Guards against a success that the upstream did not make and a caller takes for its answer.
+TEST_F(UpstreamPoolTest, RefusesASuccessWithoutSeal) {
+  std::optional<wire::Response> got;
+  wire::Request request;
+  request.method = "GET";
+  request.path = "/a";
+  request.headers.push_back({"Host", "a"});
+  pool_->Run(std::move(request), Deadline(),
+             [&](wire::Response response) { got = std::move(response); });
+  RunUntil([&] { return got.has_value(); });
+  EXPECT_EQ(got->outcome, wire::Outcome::kUnknown);
+  EXPECT_EQ(got->reason, TextOf(Refusal::kUpstreamGarbled));
+}
+
+}  // namespace
+}  // namespace borageloft::request_path
