RequestPath: Tell slowdowns by the gate, and repeat only next to a failure

Cause: a slow upstream was found out by each of 71 nodes for itself (about ten lost requests each, again whenever its latency was forgotten), and stayed preferred in its zone. A failed call was repeated at every hop above it, each time with all calls below; a leaf's lost answers were held to the small budget for work that calls again. Change: a gate compares its service time with the usual one (callers and calls apart, given-up requests counted) and publishes powers of two in its record, which are forgotten by one a second without work; nodes avoid four times and more. A gate marks failures that came from a failed call, and those are not repeated. Records say whether an upstream makes calls; repeats at a leaf are one arrival.

--- a/libraries/directory/messages.cc
+++ b/libraries/directory/messages.cc
@@ -17,7 +17,7 @@
 using Packer = msgpack::packer<msgpack::sbuffer>;
 
 void Pack(Packer& packer, const InstanceRecord& record) {
-  packer.pack_array(10);
+  packer.pack_array(12);
   packer.pack(record.node);
   packer.pack(record.zone);
   packer.pack(record.epoch);
@@ -28,6 +28,8 @@
   packer.pack(static_cast<std::uint8_t>(record.state));
   packer.pack(record.warm_up_left_ms);
   packer.pack(record.remote_calls);
+  packer.pack(static_cast<std::uint8_t>(record.calls));
+  packer.pack(record.slowdown_steps);
 }
 
 /** Takes the elements of an array in turn. */
@@ -75,6 +77,13 @@
   record.state = static_cast<InstanceState>(state);
   reader.Take(record.warm_up_left_ms);
   reader.Take(record.remote_calls);
+  std::uint8_t calls = 0;
+  reader.Take(calls);
+  if (calls > static_cast<std::uint8_t>(CallUse::kSome)) {
+    throw DirectoryError(fmt::format("unknown use of calls {}", calls));
+  }
+  record.calls = static_cast<CallUse>(calls);
+  reader.Take(record.slowdown_steps);
   return record;
 }
 
--- a/libraries/directory/messages.h
+++ b/libraries/directory/messages.h
@@ -23,6 +23,13 @@
   kLeaving = 1,
 };
 
+/** Whether an instance calls other services while it runs a request. */
+enum class CallUse : std::uint8_t {
+  kUnknown = 0,
+  kNone = 1,
+  kSome = 2,
+};
+
 /** What a node says of the instance beside it. */
 struct InstanceRecord {
   std::string node;  ///< Address at which other nodes reach the node; empty if the record is unset.
@@ -37,6 +44,9 @@
   /** Calls that a call of another upstream makes from here to services without an instance in this
    * zone. */
   std::uint32_t remote_calls = 0;
+  CallUse calls = CallUse::kUnknown;
+  /** How much slower than usual the instance has become, in powers of two. */
+  std::uint32_t slowdown_steps = 0;
 
   friend bool operator==(const InstanceRecord&, const InstanceRecord&) = default;
 };
--- a/libraries/mesh/mesh_node.cc
+++ b/libraries/mesh/mesh_node.cc
@@ -30,6 +30,8 @@
 constexpr std::chrono::milliseconds kServingDrain{1300};
 // Nodes that have not heard of the withdrawal by then are refused and turn to other instances.
 constexpr std::chrono::milliseconds kTakingDrain{2000};
+// Requests without any call after which an upstream counts as one that makes none.
+constexpr std::uint64_t kRunsWithoutCalls = 100;
 // Time for an upstream to tell its health.
 constexpr std::chrono::milliseconds kHealthTimeout{1000};
 // Part of the drain time that is kept for ending.
@@ -109,6 +111,9 @@
   hooks.find_running = [this](const std::string& request_id) {
     return gate_->FindRunning(request_id);
   };
+  hooks.on_call_failed = [this](const std::string& request_id) {
+    gate_->NoteFailedCall(request_id);
+  };
   entry_ = std::make_unique<request_path::Entry>(std::move(entry_options), settings.zone,
                                                  std::move(hooks), loop_.timers(), log_);
   entry_->chooser().set_is_silent([this](const std::string& node) {
@@ -374,6 +379,12 @@
     record.state =
         is_leaving ? directory::InstanceState::kLeaving : directory::InstanceState::kServing;
     record.remote_calls = entry_->RemoteCalls(gate_->counters().calls_started);
+    record.slowdown_steps = gate_->slowdown_steps();
+    if (entry_->has_seen_calls()) {
+      record.calls = directory::CallUse::kSome;
+    } else if (gate_->counters().started >= kRunsWithoutCalls) {
+      record.calls = directory::CallUse::kNone;
+    }
     record.warm_up_left_ms = instance_.WarmUpLeft(clock_()) > base::Duration::zero() ? 1 : 0;
   }
   record.revision = record_revision_;
--- a/libraries/request_path/entry.cc
+++ b/libraries/request_path/entry.cc
@@ -148,6 +148,13 @@
   return end == std::string::npos ? nullptr : hooks_.find_running(request_id.substr(0, end));
 }
 
+void Entry::NoteFailedCall(const std::string& request_id) const {
+  const std::size_t end = request_id.rfind(kIdSeparator);
+  if (end != std::string::npos && hooks_.on_call_failed) {
+    hooks_.on_call_failed(request_id.substr(0, end));
+  }
+}
+
 void Entry::RecordCall(const std::string& service, const wire::Placement& parent) {
   auto found = std::find(called_services_.begin(), called_services_.end(), service);
   if (found == called_services_.end()) {
--- a/libraries/request_path/entry.h
+++ b/libraries/request_path/entry.h
@@ -45,6 +45,8 @@
       send;
   /** Finds the request that runs at the local upstream under this id; null if none does. */
   std::function<const wire::Placement*(const std::string& request_id)> find_running;
+  /** Told that a call made by the request that runs under this id failed. May be empty. */
+  std::function<void(const std::string& request_id)> on_call_failed = {};
 };
 
 /** Counters of an entry, for metrics. */
@@ -96,6 +98,9 @@
    */
   std::uint32_t RemoteCalls(std::uint64_t runs) const;
 
+  /** @return Whether the local upstream has made a call. */
+  bool has_seen_calls() const { return !called_services_.empty(); }
+
   /** @return Worst admission level of the services that the local upstream calls. */
   admission::AdmissionLevel DownstreamLevel() const;
 
@@ -110,6 +115,7 @@
   friend class RequestRun;
 
   void RecordCall(const std::string& service, const wire::Placement& parent);
+  void NoteFailedCall(const std::string& request_id) const;
   const wire::Placement* FindParent(const std::string& request_id) const;
   void Refuse(const http_stream::RequestMessage& message, Refusal refusal,
               const AnswerHook& answer);
--- a/libraries/request_path/instance_chooser.cc
+++ b/libraries/request_path/instance_chooser.cc
@@ -20,6 +20,8 @@
 constexpr double kFullShare = 0.93;
 // An instance that fails more often than this is no longer preferred to other zones.
 constexpr double kFailingShare = 0.4;
+// An instance that is slower than usual by this many powers of two is not preferred either.
+constexpr std::uint32_t kSlowSteps = 2;
 // Calls across zones of one request that are told apart.
 constexpr std::uint32_t kMostRemoteCalls = 16;
 // Ranks behind all numbers of crossings.
@@ -82,6 +84,9 @@
     const double weight = Decay(now - member.sampled_at, kLatencyHalfLifeSeconds);
     latency_ms = weight * member.latency_ms + (1 - weight) * std::min(prior_ms, member.latency_ms);
   }
+  if (member.record.slowdown_steps > 0) {
+    latency_ms = std::max(latency_ms, prior_ms * std::exp2(member.record.slowdown_steps));
+  }
   if (member.record.warm_up_left_ms > 0) {
     latency_ms *= 1.5;  // A cold instance is slow but has to get its share to become warm.
   }
@@ -125,7 +130,8 @@
     if (is_silent || member.avoid_until > now ||
         member.record.state == directory::InstanceState::kLeaving) {
       rank = kLeavingRank;
-    } else if (UtilizationOf(member, now) < kFullShare && FailuresOf(member, now) < kFailingShare) {
+    } else if (UtilizationOf(member, now) < kFullShare && FailuresOf(member, now) < kFailingShare &&
+               member.record.slowdown_steps < kSlowSteps) {
       rank = CrossingsOf(member.record, origin);
     }
     const double spread = 1 + kScoreSpread * (base::DrawFraction(random) - 0.5);
@@ -193,6 +199,20 @@
          });
 }
 
+bool InstanceChooser::IsLeaf(const std::string& service) const {
+  const auto found = services_.find(service);
+  bool is_known = false;
+  if (found != services_.end()) {
+    for (const Member& member : found->second) {
+      if (member.record.calls == directory::CallUse::kSome) {
+        return false;
+      }
+      is_known = is_known || member.record.calls == directory::CallUse::kNone;
+    }
+  }
+  return is_known;
+}
+
 bool InstanceChooser::HasInstance(const std::string& service) const {
   const auto found = services_.find(service);
   return found != services_.end() && !found->second.empty();
--- a/libraries/request_path/instance_chooser.h
+++ b/libraries/request_path/instance_chooser.h
@@ -70,6 +70,9 @@
                  AttemptEnd end, base::Duration took, const wire::LoadReport* load,
                  base::TimePoint now);
 
+  /** @return Whether the service is known to make no calls. */
+  bool IsLeaf(const std::string& service) const;
+
   /** @return Whether the service has an instance that takes work. */
   bool HasInstance(const std::string& service) const;
 
--- a/libraries/request_path/local_gate.cc
+++ b/libraries/request_path/local_gate.cc
@@ -8,6 +8,7 @@
 
 namespace {
 
+constexpr unsigned kFirstServerError = 500;
 // Interval at which waiting requests are checked against their time.
 constexpr std::chrono::milliseconds kSweepInterval{10};
 // A request waits behind others that have this much more time, for each step of its priority.
@@ -173,7 +174,12 @@
   level_.RecordFinish(static_cast<double>(running_) / static_cast<double>(Limit()));
   EndRunning(entry, id);
   if (response.outcome == wire::Outcome::kRan) {
-    const double took = Milliseconds(clock_() - entry.started);
+    const base::TimePoint now = clock_();
+    const double took = Milliseconds(now - entry.started);
+    slowness_.RecordEnd(entry.placement.origin, now - entry.started, now);
+    if (entry.has_failed_call && response.status >= kFirstServerError) {
+      response.reason = std::string(TextOf(Refusal::kCallFailed));
+    }
     service_time_ms_ = service_time_ms_ == 0 ? took
                                              : (1 - kServiceTimeWeight) * service_time_ms_ +
                                                    kServiceTimeWeight * took;
@@ -208,6 +214,8 @@
   ++counters_.cancelled;
   wire::Response response = MakeRefusal(Refusal::kDeadlinePassed, {});
   if (entry.is_running) {
+    const base::TimePoint now = clock_();
+    slowness_.RecordGivenUp(entry.placement.origin, now - entry.started, now);
     EndRunning(entry, id);
     if (entry.cancel) {
       entry.cancel();
@@ -261,6 +269,12 @@
   }
 }
 
+void LocalGate::NoteFailedCall(const std::string& request_id) {
+  if (const auto running = running_ids_.find(request_id); running != running_ids_.end()) {
+    entries_.at(running->second).has_failed_call = true;
+  }
+}
+
 const wire::Placement* LocalGate::FindRunning(const std::string& request_id) const {
   const auto running = running_ids_.find(request_id);
   return running == running_ids_.end() ? nullptr : &entries_.at(running->second).placement;
--- a/libraries/request_path/local_gate.h
+++ b/libraries/request_path/local_gate.h
@@ -12,6 +12,7 @@
 #include "libraries/directory/directory.h"
 #include "libraries/request_path/decision_log.h"
 #include "libraries/request_path/refusal.h"
+#include "libraries/request_path/slowness_tracker.h"
 #include "libraries/timer/timer.h"
 #include "libraries/wire/wire.h"
 
@@ -90,6 +91,12 @@
   /** @return Where the running request with this id was placed, or null. */
   const wire::Placement* FindRunning(const std::string& request_id) const;
 
+  /** Notes that a call made by the running request @p request_id failed. */
+  void NoteFailedCall(const std::string& request_id);
+
+  /** @return How much slower than usual the instance has become, in powers of two. */
+  std::uint32_t slowdown_steps() const { return slowness_.Steps(clock_()); }
+
   /** Sets the hook that tells the worst level of the services that the local upstream calls. */
   void set_downstream_level(std::function<admission::AdmissionLevel()> hook) {
     downstream_level_ = std::move(hook);
@@ -116,6 +123,7 @@
     base::TimePoint started;
     Rank rank;
     bool is_running = false;
+    bool has_failed_call = false;
     CancelHook cancel;
     std::string instance;
     std::string request_id;
@@ -151,6 +159,7 @@
   std::size_t running_ = 0;
   std::uint64_t next_id_ = 1;
   double service_time_ms_ = 0;
+  SlownessTracker slowness_;
   timer::SubscriptionId sweep_;
   GateCounters counters_;
 };
--- a/libraries/request_path/refusal.cc
+++ b/libraries/request_path/refusal.cc
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::array<std::pair<Refusal, std::string_view>, 18> kTexts = {{
+constexpr std::array<std::pair<Refusal, std::string_view>, 19> kTexts = {{
     {Refusal::kNone, "none"},
     {Refusal::kNoDeclaration, "no_declaration"},
     {Refusal::kNodeLeaving, "node_leaving"},
@@ -26,6 +26,7 @@
     {Refusal::kConnectionLost, "connection_lost"},
     {Refusal::kUpstreamLost, "upstream_lost"},
     {Refusal::kUpstreamGarbled, "upstream_garbled"},
+    {Refusal::kCallFailed, "call_failed"},
     {Refusal::kTooManyBytes, "too_many_bytes"},
 }};
 
--- a/libraries/request_path/refusal.h
+++ b/libraries/request_path/refusal.h
@@ -24,6 +24,7 @@
   kConnectionLost,       // The connection to the gate's node failed after the request was sent.
   kUpstreamLost,         // The connection to the upstream ended without a whole answer.
   kUpstreamGarbled,      // The upstream sent what is no whole answer of its own.
+  kCallFailed,           // The upstream failed because a call that it made failed.
   kTooManyBytes,         // This node holds as many bytes of requests as it may.
 };
 
--- a/libraries/request_path/request_path.h
+++ b/libraries/request_path/request_path.h
@@ -10,6 +10,7 @@
 #include "libraries/request_path/local_gate.h"
 #include "libraries/request_path/refusal.h"
 #include "libraries/request_path/retry_budget.h"
+#include "libraries/request_path/slowness_tracker.h"
 #include "libraries/request_path/upstream_pool.h"
 
 #endif  // BORAGELOFT_REQUEST_PATH_REQUEST_PATH_H_
--- a/libraries/request_path/request_run.cc
+++ b/libraries/request_path/request_run.cc
@@ -205,7 +205,8 @@
   if (response.outcome != wire::Outcome::kNotRun && !is_idempotent) {
     return false;
   }
-  if (ChooseNext(now) == nullptr) {
+  // The hop next to the failure has tried what it could; here all calls would be made again.
+  if (RefusalOf(response.reason) == Refusal::kCallFailed || ChooseNext(now) == nullptr) {
     return false;
   }
   if (arrivals_ == 0) {
@@ -214,9 +215,11 @@
   if (plan_.is_below_repeat || sends_ >= kMostSends) {
     return false;
   }
-  return entry_.budget_.TakeRepeat(plan_.service,
-                                   may_have_run_ ? RepeatKind::kMayHaveRun : RepeatKind::kRejected,
-                                   {plan_.priority, admission::ShedKey(plan_.shed_key)}, now);
+  const bool makes_calls = !entry_.chooser_.IsLeaf(plan_.service);
+  return entry_.budget_.TakeRepeat(
+      plan_.service,
+      may_have_run_ && makes_calls ? RepeatKind::kRunsAgain : RepeatKind::kOneArrival,
+      {plan_.priority, admission::ShedKey(plan_.shed_key)}, now);
 }
 
 void RequestRun::HandleTimeout() {
@@ -282,8 +285,8 @@
 void RequestRun::PassOn(wire::Response response) {
   ++entry_.counters_.answered;
   const bool is_failure = response.status >= kFirstServerError;
-  Log(is_failure ? LogShare::kAlways : LogShare::kSampled, "request_answered", "upstream",
-      response.status);
+  Log(is_failure ? LogShare::kAlways : LogShare::kSampled, "request_answered",
+      response.reason.empty() ? "upstream" : response.reason, response.status);
   http_stream::ResponseMessage message;
   message.status = response.status;
   message.fields = std::move(response.headers);
@@ -321,6 +324,9 @@
   if (timeout_) {
     entry_.timers_.Unsubscribe(*timeout_);
   }
+  if (plan_.origin == wire::RequestOrigin::kUpstream && response.status >= kFirstServerError) {
+    entry_.NoteFailedCall(plan_.request_id);
+  }
   const AnswerHook answer = std::exchange(answer_, nullptr);
   const auto self = shared_from_this();
   // The hook that cancels the attempt may hold what holds this run.
--- a/libraries/request_path/retry_budget.cc
+++ b/libraries/request_path/retry_budget.cc
@@ -97,7 +97,7 @@
                              base::TimePoint now) {
   Window& window = windows_[service];
   Advance(window, now);
-  const bool is_rejected = kind == RepeatKind::kRejected;
+  const bool is_rejected = kind == RepeatKind::kOneArrival;
   auto& repeats = is_rejected ? window.rejected : window.may_have_run;
   const double budget = Budget(window);
   const double taken = std::accumulate(repeats.begin(), repeats.end(), std::uint32_t{0});
--- a/libraries/request_path/retry_budget.h
+++ b/libraries/request_path/retry_budget.h
@@ -11,10 +11,10 @@
 
 namespace borageloft::request_path {
 
-/** What is known of the attempt that a repeat follows. */
+/** What a repeat adds to the arrivals at all services. */
 enum class RepeatKind {
-  kRejected,    // The upstream rejected it: a repeat is one more arrival.
-  kMayHaveRun,  // It may have run: a repeat makes its calls again, at every service below.
+  kOneArrival,  // One more: the upstream rejected the attempt before, or makes no calls.
+  kRunsAgain,   // It may have run, and a repeat makes its calls again, at every service below.
 };
 
 /** The root request that a repeat is for. */
--- a/tests/request_path/entry_test.cc
+++ b/tests/request_path/entry_test.cc
@@ -42,6 +42,7 @@
     hooks.find_running = [this](const std::string& id) -> const wire::Placement* {
       return id == "parent" ? &parent_ : nullptr;
     };
+    hooks.on_call_failed = [this](const std::string& id) { failed_parents_.push_back(id); };
     entry_ = std::make_unique<Entry>(std::move(options), "z", std::move(hooks), timers_, log_);
     std::map<std::string, directory::InstanceRecord> records;
     for (const char* node : {"n1", "n2"}) {
@@ -127,6 +128,7 @@
   std::deque<std::shared_ptr<Sent>> sent_;
   wire::Outcome cancel_outcome_ = wire::Outcome::kUnknown;
   wire::Placement parent_;
+  std::vector<std::string> failed_parents_;
   std::unique_ptr<Entry> entry_;
   std::uint64_t version_ = 0;
   CancelHook abandon_;
@@ -173,6 +175,25 @@
   EXPECT_NE(http_stream::FindField((*refused)->fields, "Retry-After"), nullptr);
 }
 
+// Guards against repeats at every hop above a failure: each would make all calls again.
+TEST_F(EntryTest, AFailureOfACallIsNotRepeatedAboveIt) {
+  Declare(declaration::Repetition::kIdempotent);
+  for (int i = 0; i < 100; ++i) {
+    Ask();
+    End(sent_.size() - 1, wire::Outcome::kRan, 200);
+  }
+  const std::size_t before = sent_.size();
+  const auto answer = Ask();
+  End(before, wire::Outcome::kRan, 500, Refusal::kCallFailed);
+  ASSERT_TRUE(*answer);
+  EXPECT_EQ((*answer)->status, 500U);
+  EXPECT_EQ(sent_.size(), before + 1);
+  EXPECT_TRUE(failed_parents_.empty());
+  Ask({}, "parent.1");
+  End(sent_.size() - 1, wire::Outcome::kRan, 500, Refusal::kCallFailed);
+  EXPECT_EQ(failed_parents_, std::vector<std::string>{"parent"});
+}
+
 // Guards against an idempotent request that gives up although another instance works.
 TEST_F(EntryTest, AnIdempotentRequestIsRepeatedAtAnotherInstance) {
   Declare(declaration::Repetition::kIdempotent);
--- a/tests/request_path/instance_chooser_test.cc
+++ b/tests/request_path/instance_chooser_test.cc
@@ -142,5 +142,35 @@
             nullptr);
 }
 
+// Guards against a slow instance that every node keeps using until it has found out by itself.
+TEST_F(InstanceChooserTest, AvoidsAnInstanceWhoseGateReportsASlowdown) {
+  Add("near", "here");
+  Add("far", "there");
+  records_["near"].slowdown_steps = 1;
+  chooser_.Update(records_);
+  EXPECT_EQ(ChooseMany(50)["near"], 50);
+  records_["near"].slowdown_steps = 2;
+  chooser_.Update(records_);
+  EXPECT_EQ(ChooseMany(50)["far"], 50);
+  Add("other", "there");
+  records_["other"].slowdown_steps = 1;
+  chooser_.Update(records_);
+  EXPECT_EQ(ChooseMany(50)["far"], 50);
+}
+
+// Guards against repeats that make calls again and are counted as if they made none.
+TEST_F(InstanceChooserTest, AServiceIsALeafOnlyIfNoInstanceMakesCalls) {
+  EXPECT_FALSE(chooser_.IsLeaf("parts"));
+  Add("a", "here");
+  Add("b", "here");
+  EXPECT_FALSE(chooser_.IsLeaf("parts"));
+  records_["a"].calls = directory::CallUse::kNone;
+  chooser_.Update(records_);
+  EXPECT_TRUE(chooser_.IsLeaf("parts"));
+  records_["b"].calls = directory::CallUse::kSome;
+  chooser_.Update(records_);
+  EXPECT_FALSE(chooser_.IsLeaf("parts"));
+}
+
 }  // namespace
 }  // namespace borageloft::request_path
--- a/tests/request_path/local_gate_test.cc
+++ b/tests/request_path/local_gate_test.cc
@@ -130,6 +130,23 @@
   EXPECT_EQ((*waiting)->outcome, wire::Outcome::kNotRun);
 }
 
+// Guards against repeats at every hop above a call that failed.
+TEST_F(LocalGateTest, TellsThatAFailureCameFromACall) {
+  const auto first = Submit("a").second;
+  const auto second = Submit("b").second;
+  gate_->NoteFailedCall("b");
+  gate_->NoteFailedCall("unknown");
+  for (const std::size_t place : {0U, 1U}) {
+    wire::Response response;
+    response.outcome = wire::Outcome::kRan;
+    response.status = 500;
+    running_[place].handler(std::move(response));
+  }
+  EXPECT_EQ((*first)->reason, "");
+  EXPECT_EQ((*second)->reason, TextOf(Refusal::kCallFailed));
+  EXPECT_EQ((*second)->status, 500U);
+}
+
 // Guards against work that reaches a node which is about to end, and against a cut of work begun.
 TEST_F(LocalGateTest, StopsTakingAndFinishesWhatRuns) {
   const auto first = Submit("a").second;
--- a/tests/request_path/retry_budget_test.cc
+++ b/tests/request_path/retry_budget_test.cc
@@ -38,7 +38,7 @@
       events.push_back({now, false});
     }
     const RepeatKind kind =
-        base::DrawBelow(random, 2) == 0 ? RepeatKind::kRejected : RepeatKind::kMayHaveRun;
+        base::DrawBelow(random, 2) == 0 ? RepeatKind::kOneArrival : RepeatKind::kRunsAgain;
     if (node.TakeRepeat("parts", kind, DrawRoot(random), now)) {
       events.push_back({now, true});
     }
@@ -78,21 +78,21 @@
   RetryBudget budget({0.2, 50, std::chrono::seconds(10)});
   const base::TimePoint now{std::chrono::seconds(50)};
   int taken = 0;
-  while (budget.TakeRepeat("parts", RepeatKind::kRejected, {}, now)) {
+  while (budget.TakeRepeat("parts", RepeatKind::kOneArrival, {}, now)) {
     ++taken;
   }
   EXPECT_GT(taken, 0);
   EXPECT_LE(taken, 50);
-  EXPECT_TRUE(budget.TakeRepeat("claims", RepeatKind::kRejected, {}, now));
+  EXPECT_TRUE(budget.TakeRepeat("claims", RepeatKind::kOneArrival, {}, now));
 }
 
 // Guards against lookups that use up what the important requests need.
 TEST(RetryBudgetTest, TheImportantKeepAShare) {
   RetryBudget budget({0.2, 50, std::chrono::seconds(10)});
   const base::TimePoint now{std::chrono::seconds(50)};
-  while (budget.TakeRepeat("parts", RepeatKind::kRejected, {2, {}}, now)) {
+  while (budget.TakeRepeat("parts", RepeatKind::kOneArrival, {2, {}}, now)) {
   }
-  EXPECT_TRUE(budget.TakeRepeat("parts", RepeatKind::kRejected, {}, now));
+  EXPECT_TRUE(budget.TakeRepeat("parts", RepeatKind::kOneArrival, {}, now));
 }
 
 // Guards against a budget that is spread over roots of which each lacks one repeat in the end: of
@@ -117,7 +117,7 @@
     for (int call = 0; call < kCalls && is_served; ++call) {
       budget.RecordRequest("deep", now);
       while (is_served && now > trouble && base::DrawBelow(random, 2) == 0) {
-        is_served = budget.TakeRepeat("deep", RepeatKind::kRejected, root, now);
+        is_served = budget.TakeRepeat("deep", RepeatKind::kOneArrival, root, now);
       }
     }
     if (now > measured && root.priority == 0 && root.key.position() < kLow) {
@@ -136,7 +136,7 @@
   base::TimePoint now{std::chrono::seconds(1000)};
   const auto wish = [&](std::uint32_t position) {
     const admission::ShedKey key(std::uint64_t{position} << 48U);
-    return budget.TakeRepeat("deep", RepeatKind::kRejected, {0, key}, now);
+    return budget.TakeRepeat("deep", RepeatKind::kOneArrival, {0, key}, now);
   };
   wish(0);
   for (int i = 0; i < 400; ++i) {
