Consensus: Repeat a split vote soon; RequestPath: Fit Retry-After to the objective

Callers come back as late as their answer still meets the target latency, between 0.3 and 1 s, spread from 0.4 of that on.

--- a/libraries/consensus/replica_election.cc
+++ b/libraries/consensus/replica_election.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <utility>
 
 #include "libraries/consensus/replica.h"
@@ -160,6 +161,12 @@
   if (response.is_granted && term != hard_state_.term + (response.is_pre_vote ? 1 : 0)) {
     return;
   }
+  if (!response.is_granted && !response.is_pre_vote && refused_.empty()) {
+    // The vote may be split; waiting for a whole election timeout would not mend it.
+    const base::TimePoint due = election_due_;
+    SetElectionTimer(options_.pre_vote_delay, options_.pre_vote_spread);
+    election_due_ = std::min(election_due_, due);
+  }
   (response.is_granted ? granted_ : refused_).insert(from);
   const std::size_t quorum = log_.membership().quorum();
   if (granted_.size() >= quorum) {
--- a/libraries/request_path/instance_chooser.cc
+++ b/libraries/request_path/instance_chooser.cc
@@ -199,6 +199,19 @@
          });
 }
 
+double InstanceChooser::TypicalLatencyMs(const std::string& service) const {
+  const auto found = services_.find(service);
+  double sum = 0;
+  std::size_t sampled = 0;
+  if (found != services_.end()) {
+    for (const Member& member : found->second) {
+      sum += member.latency_ms;
+      sampled += member.latency_ms > 0 ? 1 : 0;
+    }
+  }
+  return sampled == 0 ? 0 : sum / static_cast<double>(sampled);
+}
+
 bool InstanceChooser::IsLeaf(const std::string& service) const {
   const auto found = services_.find(service);
   bool is_known = false;
--- a/libraries/request_path/instance_chooser.h
+++ b/libraries/request_path/instance_chooser.h
@@ -70,6 +70,9 @@
                  AttemptEnd end, base::Duration took, const wire::LoadReport* load,
                  base::TimePoint now);
 
+  /** @return Mean latency over the instances that have answered, in milliseconds; 0 if none has. */
+  double TypicalLatencyMs(const std::string& service) const;
+
   /** @return Whether the service is known to make no calls. */
   bool IsLeaf(const std::string& service) const;
 
--- a/libraries/request_path/request_run.cc
+++ b/libraries/request_path/request_run.cc
@@ -26,9 +26,12 @@
 constexpr std::chrono::milliseconds kDefaultWait{100};
 // A repeat needs at least this much time to be of use.
 constexpr std::chrono::milliseconds kLeastTimeForRepeat{30};
-// Span over which refused callers are told to come back, so that they do not come at once.
-constexpr double kRetryAfterSeconds = 0.15;
-constexpr double kRetryAfterSpreadSeconds = 0.35;
+// Refused callers are told to come back while their answer can still be within the target latency,
+// within these bounds: a load that passes needs some time, and few objectives exceed the longest.
+constexpr double kShortestReturnSeconds = 0.3;
+constexpr double kLongestReturnSeconds = 1.0;
+// They come back spread over the time from this part of it on.
+constexpr double kEarliestReturn = 0.4;
 
 double Milliseconds(base::Duration duration) {
   return std::chrono::duration<double, std::milli>(duration).count();
@@ -312,8 +315,11 @@
 }
 
 std::string RequestRun::RetryAfter(base::TimePoint now) const {
+  const double spare = std::chrono::duration<double>(plan_.route.target_latency).count() -
+                       1e-3 * entry_.chooser_.TypicalLatencyMs(plan_.service);
+  const double latest = std::clamp(spare, kShortestReturnSeconds, kLongestReturnSeconds);
   const double drawn =
-      kRetryAfterSeconds + kRetryAfterSpreadSeconds * base::DrawFraction(entry_.hooks_.random);
+      latest * (kEarliestReturn + (1 - kEarliestReturn) * base::DrawFraction(entry_.hooks_.random));
   const double left = std::chrono::duration<double>(plan_.deadline - now).count();
   return fmt::format("{:.3f}", std::clamp(drawn, 0.0, std::max(0.0, left / 4)));
 }
--- a/tests/consensus/replica_test.cc
+++ b/tests/consensus/replica_test.cc
@@ -129,6 +129,30 @@
   EXPECT_EQ(leader.term(), term);
 }
 
+// Guards against a power loss after which two candidates split the votes of those that are left,
+// and the group waits for a whole election timeout.
+TEST_F(ReplicaTest, ASplitVoteIsRepeatedSoon) {
+  StartVoters(5);
+  Replica& replica = replicas_.at(1);
+  now_ += options_.pre_vote_delay + options_.pre_vote_spread;
+  replica.Tick(now_);
+  Work(1);
+  const Term term = replica.term() + 1;
+  replica.Step({2, 1, term, VoteResponse{true, true}});
+  replica.Step({3, 1, term, VoteResponse{true, true}});
+  Work(1);
+  ASSERT_EQ(replica.term(), term);
+  replica.Step({2, 1, term, VoteResponse{false, false}});
+  Work(1);
+  now_ += options_.pre_vote_delay + options_.pre_vote_spread;
+  replica.Tick(now_);
+  const std::vector<Message> messages = Work(1);
+  ASSERT_FALSE(messages.empty());
+  const auto* request = std::get_if<VoteRequest>(&messages[0].body);
+  ASSERT_NE(request, nullptr);
+  EXPECT_TRUE(request->is_pre_vote);
+}
+
 // Guards against a cut-off leader that goes on accepting proposals and reads.
 TEST_F(ReplicaTest, LeaderWithoutQuorumStepsDownAndDropsReads) {
   StartVoters(3);
--- a/tests/request_path/entry_test.cc
+++ b/tests/request_path/entry_test.cc
@@ -194,6 +194,28 @@
   EXPECT_EQ(failed_parents_, std::vector<std::string>{"parent"});
 }
 
+// Guards against callers that are told to come back when the answer can only be late.
+TEST_F(EntryTest, RefusedCallersComeBackWithinTheTargetLatency) {
+  Declare(declaration::Repetition::kIdempotent);  // Target latency 300 ms.
+  const auto retry_after = [&](const std::string& id) {
+    const auto answer = Ask({{"Borageloft-Timeout-Ms", "5000"}}, id);
+    while (!*answer) {
+      End(sent_.size() - 1, wire::Outcome::kNotRun, 0, Refusal::kQueueFull);
+    }
+    return std::stod(*http_stream::FindField((*answer)->fields, "Retry-After"));
+  };
+  double least = 10;
+  double most = 0;
+  for (int i = 0; i < 50; ++i) {
+    const double seconds = retry_after("r-" + std::to_string(i));
+    least = std::min(least, seconds);
+    most = std::max(most, seconds);
+  }
+  EXPECT_GE(least, 0.1);
+  EXPECT_LE(most, 0.3);
+  EXPECT_GE(most - least, 0.1);  // Spread, so that they do not come at once.
+}
+
 // Guards against an idempotent request that gives up although another instance works.
 TEST_F(EntryTest, AnIdempotentRequestIsRepeatedAtAnotherInstance) {
   Declare(declaration::Repetition::kIdempotent);
