--- a/libraries/settings/value_parser.cc
+++ b/libraries/settings/value_parser.cc
@@ -146,6 +146,9 @@
   if (text.ends_with('%')) {
     text.remove_suffix(1);
     number = ParseNumber<double>(Trim(text));
+  } else if (const auto plain = ParseNumber<double>(text); plain && *plain <= 1) {
+    // Above 1 a number without a sign could be meant either way.
+    number = *plain * kPercent;
   }
   if (!number || !(*number >= minimum * kPercent && *number <= maximum * kPercent)) {
     AddIssue(key, fmt::format("\"{}\" is no percentage from {}% to {}%", entry->value,
--- a/libraries/settings/value_parser.h
+++ b/libraries/settings/value_parser.h
@@ -44,7 +44,8 @@
   std::int64_t Integer(const std::string& key, std::int64_t fallback, std::int64_t minimum,
                        std::int64_t maximum);
 
-  /** @return A share between 0 and 1, written as a percentage such as "5%" or "0.5%". */
+  /** @return A share between 0 and 1, written as a percentage such as "5%" or as a
+   * number such as "0.05". */
   double Share(const std::string& key, double fallback, double minimum, double maximum);
 
   /** @return A span of time, written with its unit: us, ms, s, min or h. */
--- a/tests/mesh/mesh_settings_test.cc
+++ b/tests/mesh/mesh_settings_test.cc
@@ -36,6 +36,19 @@
   }
 }
 
+// Guards against a repeat budget that ignores what a deployment states as a plain number.
+TEST(MeshSettingsTest, ReadsAShareInBothForms) {
+  const auto ratio = [](const std::string& text) {
+    return ParseMeshSettings(std::string(kNode) + "[retries]\nratio = " + text + "\n", "node.ini")
+        .retries.ratio;
+  };
+  EXPECT_DOUBLE_EQ(ratio("0.15"), 0.15);
+  EXPECT_DOUBLE_EQ(ratio("15%"), 0.15);
+  EXPECT_DOUBLE_EQ(ratio("0"), 0);
+  EXPECT_THROW(ratio("15"), settings::SettingsError);
+  EXPECT_THROW(ratio("-0.1"), settings::SettingsError);
+}
+
 TEST(MeshSettingsTest, AControlHostNeedsItsDataFolder) {
   const std::string text =
       "[mesh]\nname = c1\nzone = z\nrole = control\n[listen]\ncalls = 10.0.0.1:82\n"
