Mesh: Log what an accepted declaration changes

The leader now logs declaration_changed with the routes, services and limits that differ, at most 12 entries, once for each acknowledged order.

Test: DeclarationChangesTest.NamesWhatDiffers.

--- /dev/null
+++ b/libraries/declaration/declaration_changes.cc
@@ -0,0 +1,71 @@
+#include "libraries/declaration/declaration_changes.h"
+
+#include <fmt/format.h>
+
+#include <map>
+
+namespace borageloft::declaration {
+
+namespace {
+
+long long Milliseconds(base::Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+std::string Describe(const Route& route) {
+  std::string text = fmt::format(
+      "{} timeout={}ms target={}ms priority={} attempts={} {}", route.name,
+      Milliseconds(route.timeout), Milliseconds(route.target_latency), route.priority,
+      route.attempts, route.repetition == Repetition::kIdempotent ? "idempotent" : "at_most_once");
+  for (const WeightedService& target : route.targets) {
+    text += fmt::format(" {}:{}", target.service, target.weight);
+  }
+  return text;
+}
+
+// Texts of all parts of a declaration by a key that identifies the part.
+std::map<std::string, std::string> DescribeParts(const Declaration& declaration) {
+  std::map<std::string, std::string> parts;
+  for (const Route& route : declaration.routes) {
+    parts["route " + route.host + route.path_prefix] = Describe(route);
+  }
+  for (const ServiceEntry& service : declaration.services) {
+    parts["service " + service.name] =
+        fmt::format("connections={} health={}", service.connections, service.health_path);
+  }
+  const CallerLimits& limits = declaration.limits;
+  parts["limits"] = fmt::format(
+      "header={}B body={}B header_timeout={}ms idle_timeout={}ms", limits.header_bytes,
+      limits.body_bytes, Milliseconds(limits.header_timeout), Milliseconds(limits.idle_timeout));
+  return parts;
+}
+
+}  // namespace
+
+DeclarationChanges FindChanges(const Declaration& before, const Declaration& after,
+                               std::size_t max_entries) {
+  const std::map<std::string, std::string> old_parts = DescribeParts(before);
+  const std::map<std::string, std::string> new_parts = DescribeParts(after);
+  DeclarationChanges changes;
+  const auto add = [&](std::string entry) {
+    if (++changes.count <= max_entries) {
+      changes.entries.push_back(std::move(entry));
+    }
+  };
+  for (const auto& [key, text] : new_parts) {
+    const auto old_part = old_parts.find(key);
+    if (old_part == old_parts.end()) {
+      add(fmt::format("{}: added, {}", key, text));
+    } else if (old_part->second != text) {
+      add(fmt::format("{}: {} -> {}", key, old_part->second, text));
+    }
+  }
+  for (const auto& [key, text] : old_parts) {
+    if (!new_parts.contains(key)) {
+      add(fmt::format("{}: removed, {}", key, text));
+    }
+  }
+  return changes;
+}
+
+}  // namespace borageloft::declaration
--- a/libraries/mesh/control_node.cc
+++ b/libraries/mesh/control_node.cc
@@ -22,6 +22,8 @@
 constexpr std::chrono::milliseconds kRecordLifetime{4500};
 constexpr std::chrono::milliseconds kCheckInterval{100};
 constexpr std::chrono::milliseconds kMaximumStopTime{1500};
+// Bounds the size of a log line; more changes than this come from a review of the whole text.
+constexpr std::size_t kMaximumLoggedChanges = 12;
 constexpr std::size_t kMaximumDeclarationBytes = std::size_t{4} << 20U;
 
 std::uint64_t RandomEpoch() {
@@ -29,6 +31,17 @@
   return (static_cast<std::uint64_t>(device()) << 32U) | (device() & 0xfffffff0U);
 }
 
+void LogChanges(declaration::Version version, const declaration::DeclarationChanges& changes) {
+  Json::Value entries(Json::arrayValue);
+  for (const std::string& entry : changes.entries) {
+    entries.append(entry);
+  }
+  base::Log(base::LogLevel::kInfo, "declaration_changed",
+            {{"version", static_cast<Json::UInt64>(version)},
+             {"changes", static_cast<Json::UInt64>(changes.count)},
+             {"entries", entries}});
+}
+
 }  // namespace
 
 ControlNode::ControlNode(NodeLoop& loop, Dialect dialect)
@@ -162,30 +175,46 @@
     Respond(exchange, kBadRequest, *fault);
     return;
   }
-  member_->Replace(call.command, [this, exchange, target,
-                                  command = call.command](control_member::ReplaceStatus status) {
-    base::Log(base::LogLevel::kInfo, "declaration_order",
-              {{"base", static_cast<Json::UInt64>(command.base)},
-               {"version", static_cast<Json::UInt64>(command.version)},
-               {"status", static_cast<int>(status)}});
-    switch (status) {
-      case control_member::ReplaceStatus::kAccepted:
-        Respond(exchange, kOk, dialect_.acknowledgement);
-        return;
-      case control_member::ReplaceStatus::kWrongBase:
-        Respond(exchange, kPreconditionFailed, "another version is in force");
-        return;
-      case control_member::ReplaceStatus::kNotAbove:
-        Respond(exchange, kBadRequest, "the version is not above the one in force");
-        return;
-      case control_member::ReplaceStatus::kNotLeader:
-        Redirect(target, exchange);
-        return;
-      case control_member::ReplaceStatus::kUnavailable:
-        Respond(exchange, kServiceUnavailable, "the group cannot accept now");
-        return;
+  member_->Replace(
+      call.command, [this, exchange, target, command = call.command,
+                     changes = ChangesOf(call.declaration)](control_member::ReplaceStatus status) {
+        base::Log(base::LogLevel::kInfo, "declaration_order",
+                  {{"base", static_cast<Json::UInt64>(command.base)},
+                   {"version", static_cast<Json::UInt64>(command.version)},
+                   {"status", static_cast<int>(status)}});
+        switch (status) {
+          case control_member::ReplaceStatus::kAccepted:
+            LogChanges(command.version, changes);
+            Respond(exchange, kOk, dialect_.acknowledgement);
+            return;
+          case control_member::ReplaceStatus::kWrongBase:
+            Respond(exchange, kPreconditionFailed, "another version is in force");
+            return;
+          case control_member::ReplaceStatus::kNotAbove:
+            Respond(exchange, kBadRequest, "the version is not above the one in force");
+            return;
+          case control_member::ReplaceStatus::kNotLeader:
+            Redirect(target, exchange);
+            return;
+          case control_member::ReplaceStatus::kUnavailable:
+            Respond(exchange, kServiceUnavailable, "the group cannot accept now");
+            return;
+        }
+      });
+}
+
+declaration::DeclarationChanges ControlNode::ChangesOf(const declaration::Declaration& next) const {
+  declaration::Declaration before;
+  try {
+    if (member_->applied().version() > 0) {
+      before = dialect_.decode_declaration(member_->applied().text());
     }
-  });
+  } catch (const declaration::DeclarationError& error) {
+    base::Log(base::LogLevel::kWarning, "declaration_unreadable",
+              {{"version", static_cast<Json::UInt64>(member_->applied().version())},
+               {"error", error.what()}});
+  }
+  return declaration::FindChanges(before, next, kMaximumLoggedChanges);
 }
 
 void ControlNode::HandleRead(const std::string& target, const http_stream::Exchange& exchange) {
--- a/libraries/mesh/control_node.h
+++ b/libraries/mesh/control_node.h
@@ -38,6 +38,7 @@
                   const http_stream::Exchange& exchange);
   void HandleReplace(const ReplaceCall& call, const std::string& target,
                      const http_stream::Exchange& exchange);
+  declaration::DeclarationChanges ChangesOf(const declaration::Declaration& next) const;
   void HandleRead(const std::string& target, const http_stream::Exchange& exchange);
   void Redirect(const std::string& target, const http_stream::Exchange& exchange);
   void Respond(const http_stream::Exchange& exchange, unsigned status, std::string body);
--- a/tests/declaration/declaration_test.cc
+++ b/tests/declaration/declaration_test.cc
@@ -12,6 +12,7 @@
   route.name = prefix;
   route.host = "shop.example";
   route.path_prefix = prefix;
+  route.timeout = std::chrono::milliseconds(800);
   route.targets = std::move(targets);
   return route;
 }
@@ -58,6 +59,20 @@
   }
 }
 
+TEST(DeclarationChangesTest, NamesWhatDiffers) {
+  const Declaration before = MakeValidDeclaration();
+  EXPECT_EQ(FindChanges(before, before, 8).count, 0U);
+  Declaration after = before;
+  after.routes[0].timeout = std::chrono::milliseconds(0);
+  after.routes[1].path_prefix = "/z/";
+  const DeclarationChanges changes = FindChanges(before, after, 2);
+  EXPECT_EQ(changes.count, 3U);
+  ASSERT_EQ(changes.entries.size(), 2U);
+  EXPECT_NE(changes.entries[0].find("timeout=800ms"), std::string::npos) << changes.entries[0];
+  EXPECT_NE(changes.entries[0].find("-> /x/ timeout=0ms"), std::string::npos) << changes.entries[0];
+  EXPECT_NE(changes.entries[1].find("/z/: added"), std::string::npos) << changes.entries[1];
+}
+
 // Guards against matching a shorter prefix, a partial path segment or the query.
 TEST(RouteTableTest, TakesTheLongestPrefixOfTheHost) {
   RouteTable table(MakeValidDeclaration());
