--- a/tests/declaration/declaration_test.cc
+++ b/tests/declaration/declaration_test.cc
@@ -59,6 +59,20 @@
   }
 }
 
+TEST(RoutesTest, RefusesARouteThatWouldRunWithoutATimeLimit) {
+  Declaration declaration = MakeValidDeclaration();
+  declaration.routes[1].timeout = base::Duration::zero();
+  EXPECT_TRUE(FindFault(declaration));
+}
+
+// The route table ignores the case of hosts, so it would keep only one of the two routes.
+TEST(RoutesTest, RefusesRoutesWhoseHostsDifferOnlyInCase) {
+  Declaration declaration = MakeValidDeclaration();
+  declaration.routes[1].host = "SHOP.example";
+  declaration.routes[1].path_prefix = declaration.routes[0].path_prefix;
+  EXPECT_TRUE(FindFault(declaration));
+}
+
 TEST(DeclarationChangesTest, NamesWhatDiffers) {
   const Declaration before = MakeValidDeclaration();
   EXPECT_EQ(FindChanges(before, before, 8).count, 0U);
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -13,7 +13,7 @@
     R"("idle_timeout_ms":15000},"hosts":[{"host":"h.example","paths":[)"
     R"({"name":"r1","path_prefix":"/x/","kind":"safe","timeout_ms":800,"target_latency_ms":1500,)"
     R"("priority":2,"split":[{"service":"a","weight":90},{"service":"b","weight":10}],)"
-    R"("attempts":2},{"name":"r2","path_prefix":"/y/","kind":"unsafe","service":"b"}]}]})";
+    R"("attempts":2},{"name":"r2","path_prefix":"/y/","kind":"unsafe","timeout_ms":900,"service":"b"}]}]})";
 
 http_stream::RequestMessage Call(const std::string& target, const std::string& body = "") {
   http_stream::RequestMessage message;
@@ -45,6 +45,36 @@
   EXPECT_THROW(DecodeConfiguration(text + "}"), declaration::DeclarationError);
 }
 
+std::optional<std::string> FaultAfterReplacing(const std::string& from, const std::string& to) {
+  std::string text = kConfiguration;
+  text.replace(text.find(from), from.size(), to);
+  try {
+    return declaration::FindFault(DecodeConfiguration(text));
+  } catch (const declaration::DeclarationError& error) {
+    return error.what();
+  }
+}
+
+// Guards against a default in place of a stated value that has no meaning.
+TEST(ConfigurationCodecTest, RefusesZeroAndContradictoryValues) {
+  EXPECT_FALSE(FaultAfterReplacing("\"timeout_ms\":800", "\"timeout_ms\":801"));
+  const std::vector<std::pair<std::string, std::string>> faults = {
+      {"\"timeout_ms\":800", "\"timeout_ms\":0"},
+      {"\"timeout_ms\":800", "\"timeout_ms\":0.5"},
+      {"\"timeout_ms\":800,", ""},
+      {"\"attempts\":2", "\"attempts\":0"},
+      {"\"attempts\":2", "\"attempts\":4294967297"},
+      {"\"priority\":2", "\"priority\":4294967296"},
+      {"\"split\":", "\"service\":\"a\",\"split\":"},
+      {"\"split\":", "\"service\":\"c\",\"split\":"},
+      {"\"max_header_bytes\":100", "\"max_header_bytes\":0"},
+      {"\"idle_timeout_ms\":15000", "\"idle_timeout_ms\":0"},
+  };
+  for (const auto& [from, to] : faults) {
+    EXPECT_TRUE(FaultAfterReplacing(from, to)) << to;
+  }
+}
+
 TEST(ConfigurationCodecTest, ReadsVersions) {
   EXPECT_EQ(ParseVersion("r12"), 12U);
   EXPECT_EQ(ParseVersion("0"), 0U);
