Declaration: Refuse values without a meaning instead of taking a default

The decoder turned a missing and a zero timeout into the same number, and the validator took that number for 'no limit'. The class of fault is a permissive default in place of a stated value.

--- a/libraries/declaration/declaration_changes.cc
+++ b/libraries/declaration/declaration_changes.cc
@@ -12,6 +12,14 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
+std::string Describe(const std::optional<std::uint64_t>& bytes) {
+  return bytes ? fmt::format("{}B", *bytes) : "default";
+}
+
+std::string Describe(const std::optional<base::Duration>& limit) {
+  return limit ? fmt::format("{}ms", Milliseconds(*limit)) : "default";
+}
+
 std::string Describe(const Route& route) {
   std::string text = fmt::format(
       "{} timeout={}ms target={}ms priority={} attempts={} {}", route.name,
@@ -34,9 +42,9 @@
         fmt::format("connections={} health={}", service.connections, service.health_path);
   }
   const CallerLimits& limits = declaration.limits;
-  parts["limits"] = fmt::format(
-      "header={}B body={}B header_timeout={}ms idle_timeout={}ms", limits.header_bytes,
-      limits.body_bytes, Milliseconds(limits.header_timeout), Milliseconds(limits.idle_timeout));
+  parts["limits"] = fmt::format("header={} body={} header_timeout={} idle_timeout={}",
+                                Describe(limits.header_bytes), Describe(limits.body_bytes),
+                                Describe(limits.header_timeout), Describe(limits.idle_timeout));
   return parts;
 }
 
--- a/libraries/declaration/routes.cc
+++ b/libraries/declaration/routes.cc
@@ -20,6 +20,9 @@
   if (route.attempts == 0) {
     return message_prefix + "it allows no attempt";
   }
+  if (route.timeout <= base::Duration::zero()) {
+    return message_prefix + "its timeout must be above 0";
+  }
   if (route.targets.empty()) {
     return message_prefix + "it names no service";
   }
@@ -39,6 +42,18 @@
   return std::nullopt;
 }
 
+std::optional<std::string> FindLimitFault(const CallerLimits& limits) {
+  if (limits.header_bytes == 0U || limits.body_bytes == 0U) {
+    return "a size limit must be above 0";
+  }
+  for (const std::optional<base::Duration>& limit : {limits.header_timeout, limits.idle_timeout}) {
+    if (limit && *limit <= base::Duration::zero()) {
+      return "a time limit must be above 0";
+    }
+  }
+  return std::nullopt;
+}
+
 }  // namespace
 
 std::optional<std::string> FindFault(const Declaration& declaration) {
@@ -60,7 +75,7 @@
       return "route '" + route.name + "': another route has the same host and path prefix";
     }
   }
-  return std::nullopt;
+  return FindLimitFault(declaration.limits);
 }
 
 }  // namespace borageloft::declaration
--- a/libraries/declaration/routes.h
+++ b/libraries/declaration/routes.h
@@ -32,7 +32,7 @@
   std::string host;
   std::string path_prefix;
   Repetition repetition = Repetition::kAtMostOnce;
-  /** Maximum time to answer a request; zero means no limit besides the caller's deadline. */
+  /** Maximum time to answer a request, above zero. */
   base::Duration timeout{0};
   /** Latency objective of the route; zero if not stated. */
   base::Duration target_latency{0};
@@ -53,12 +53,12 @@
   std::string health_path = {};
 };
 
-/** Limits for the requests of callers. Zero means not stated. */
+/** Limits for the requests of callers, each above zero. Those not stated are up to the node. */
 struct CallerLimits {
-  std::uint64_t header_bytes = 0;
-  std::uint64_t body_bytes = 0;
-  base::Duration header_timeout{0};
-  base::Duration idle_timeout{0};
+  std::optional<std::uint64_t> header_bytes = std::nullopt;
+  std::optional<std::uint64_t> body_bytes = std::nullopt;
+  std::optional<base::Duration> header_timeout = std::nullopt;
+  std::optional<base::Duration> idle_timeout = std::nullopt;
 };
 
 /** Complete configuration of services, routes and limits that an operator declares. */
--- a/libraries/mesh/mesh_node.cc
+++ b/libraries/mesh/mesh_node.cc
@@ -330,19 +330,11 @@
     http_stream::ServerLimits limits;
     limits.connections = loop_.settings().connections;
     const declaration::CallerLimits& declared = declaration.limits;
-    if (declared.header_bytes > 0) {
-      limits.message.header_bytes = declared.header_bytes;
-    }
-    if (declared.body_bytes > 0) {
-      limits.message.body_bytes =
-          std::min<std::size_t>(limits.message.body_bytes, declared.body_bytes);
-    }
-    if (declared.header_timeout > base::Duration::zero()) {
-      limits.header_timeout = declared.header_timeout;
-    }
-    if (declared.idle_timeout > base::Duration::zero()) {
-      limits.idle_timeout = declared.idle_timeout;
-    }
+    limits.message.header_bytes = declared.header_bytes.value_or(limits.message.header_bytes);
+    limits.message.body_bytes = std::min(limits.message.body_bytes,
+                                         declared.body_bytes.value_or(limits.message.body_bytes));
+    limits.header_timeout = declared.header_timeout.value_or(limits.header_timeout);
+    limits.idle_timeout = declared.idle_timeout.value_or(limits.idle_timeout);
     caller_server_->set_limits(limits);
     for (const declaration::ServiceEntry& service : declaration.services) {
       if (service.name == loop_.settings().service) {
