Declaration: Compare hosts without case when routes are checked

Two routes with the same prefix whose hosts differ in case passed the check, and the route table, which compares without case, kept the first and dropped the other without a word: its callers would be sent by the other route. Both now compare by NormalizeHost.

RoutesTest.RefusesRoutesWhoseHostsDifferOnlyInCase failed before.

--- a/libraries/declaration/route_table.cc
+++ b/libraries/declaration/route_table.cc
@@ -1,23 +1,9 @@
 #include "libraries/declaration/route_table.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace borageloft::declaration {
 
-namespace {
-
-std::string ToLower(std::string_view text) {
-  std::string lower(text);
-  std::transform(lower.begin(), lower.end(), lower.begin(), [](char character) {
-    return character >= 'A' && character <= 'Z' ? static_cast<char>(character - 'A' + 'a')
-                                                : character;
-  });
-  return lower;
-}
-
-}  // namespace
-
 RouteEntry::RouteEntry(Route route) : route_(std::move(route)) {
   for (const WeightedService& target : route_.targets) {
     weight_sum_ += target.weight;
@@ -43,14 +29,14 @@
 
 RouteTable::RouteTable(const Declaration& declaration) {
   for (const Route& route : declaration.routes) {
-    hosts_[ToLower(route.host)].emplace(route.path_prefix, RouteEntry(route));
+    hosts_[NormalizeHost(route.host)].emplace(route.path_prefix, RouteEntry(route));
     ++size_;
   }
 }
 
 RouteEntry* RouteTable::Find(std::string_view host, std::string_view target) {
   host = host.substr(0, host.find(':'));
-  const auto found = hosts_.find(ToLower(host));
+  const auto found = hosts_.find(NormalizeHost(host));
   if (found == hosts_.end()) {
     return nullptr;
   }
--- a/libraries/declaration/routes.cc
+++ b/libraries/declaration/routes.cc
@@ -1,5 +1,6 @@
 #include "libraries/declaration/routes.h"
 
+#include <algorithm>
 #include <cmath>
 #include <set>
 
@@ -56,6 +57,15 @@
 
 }  // namespace
 
+std::string NormalizeHost(std::string_view host) {
+  std::string lower(host);
+  std::transform(lower.begin(), lower.end(), lower.begin(), [](char character) {
+    return character >= 'A' && character <= 'Z' ? static_cast<char>(character - 'A' + 'a')
+                                                : character;
+  });
+  return lower;
+}
+
 std::optional<std::string> FindFault(const Declaration& declaration) {
   if (declaration.version == 0) {
     return "the version must be above 0";
@@ -71,7 +81,7 @@
     if (auto fault = FindRouteFault(route, services)) {
       return fault;
     }
-    if (!host_prefixes.emplace(route.host, route.path_prefix).second) {
+    if (!host_prefixes.emplace(NormalizeHost(route.host), route.path_prefix).second) {
       return "route '" + route.name + "': another route has the same host and path prefix";
     }
   }
--- a/libraries/declaration/routes.h
+++ b/libraries/declaration/routes.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "libraries/base/base.h"
@@ -69,6 +70,9 @@
   CallerLimits limits;
 };
 
+/** @return @p host in lower case, in which hosts are compared. */
+std::string NormalizeHost(std::string_view host);
+
 /**
  * Validates a declaration.
  * @return Description of the first fault found, or nothing if the declaration is valid.
