RequestPath: Keep to the rate that an upstream names in its answers

All requests for an upstream pass through the gate on its host, so the gate paces them by a token bucket, and queues and refuses by priority as for its slots. It reports the rate with each answer; the entries send a root that the gate's level does not admit to other instances first, and shed at the entry only when every instance names a rate. A request carries the rate that its sender knows, so that a gate that has just restarted keeps to it before its first answer. Records name the start of the instance, so that a new process under an old id starts without the limit.

Ruled out: a limit of each entry for its part of the rate, which depends on how callers spread.

--- a/libraries/directory/local_instance.h
+++ b/libraries/directory/local_instance.h
@@ -65,6 +65,7 @@
 
   /** @return Id of the instance, or empty if there is none. */
   const std::string& instance() const { return heartbeat_.instance; }
+  Incarnation incarnation() const { return {heartbeat_.instance, heartbeat_.born}; }
   const std::string& service() const { return service_; }
   std::uint32_t slots() const { return heartbeat_.slots; }
   /** @return Whether an instance was heard or adopted since this process started. */
--- a/libraries/directory/messages.cc
+++ b/libraries/directory/messages.cc
@@ -18,7 +18,7 @@
 using Packer = msgpack::packer<msgpack::sbuffer>;
 
 void Pack(Packer& packer, const InstanceRecord& record) {
-  packer.pack_array(12);
+  packer.pack_array(13);
   packer.pack(record.node);
   packer.pack(record.zone);
   packer.pack(record.epoch);
@@ -31,6 +31,7 @@
   packer.pack(record.remote_calls);
   packer.pack(static_cast<std::uint8_t>(record.calls));
   packer.pack(record.slowdown_steps);
+  packer.pack(record.born);
 }
 
 /** Reads the elements of an array in order. */
@@ -85,6 +86,7 @@
   }
   record.calls = static_cast<CallUse>(calls);
   reader.Take(record.slowdown_steps);
+  reader.Take(record.born);
   return record;
 }
 
--- a/libraries/directory/messages.h
+++ b/libraries/directory/messages.h
@@ -23,6 +23,18 @@
   kLeaving = 1,
 };
 
+/** One process of an instance; an instance may start again under the id that it had. */
+struct Incarnation {
+  std::string instance;
+  std::uint64_t born = 0;  ///< Start in Unix milliseconds of its own clock; 0 if not known.
+};
+
+/** @return Whether both are known or assumed to be the same process. */
+inline bool MayBeSame(const Incarnation& left, const Incarnation& right) {
+  return left.instance == right.instance &&
+         (left.born == right.born || left.born == 0 || right.born == 0);
+}
+
 /** Whether an instance calls other services while it runs a request. */
 enum class CallUse : std::uint8_t {
   kUnknown = 0,
@@ -47,6 +59,7 @@
   CallUse calls = CallUse::kUnknown;
   /** Binary logarithm of the slowdown of the instance relative to its usual speed. */
   std::uint32_t slowdown_steps = 0;
+  std::uint64_t born = 0;  ///< Start of the instance, see Incarnation.
 
   friend bool operator==(const InstanceRecord&, const InstanceRecord&) = default;
 };
--- a/libraries/mesh/mesh_node.cc
+++ b/libraries/mesh/mesh_node.cc
@@ -370,6 +370,7 @@
   if (instance_.is_known() && !instance_.is_suspect()) {
     record.service = instance_.service();
     record.instance = instance_.instance();
+    record.born = instance_.incarnation().born;
     record.slots = instance_.slots();
     const bool is_leaving = instance_.leaving_since() || IsWithdrawn();
     record.state =
@@ -468,6 +469,11 @@
   text.Add("borageloft_upstream_connections_total", "Connections opened to the upstream",
            pool.connections_opened);
   text.Add("borageloft_upstream_reuses_total", "Requests sent on a kept connection", pool.reused);
+  text.Add("borageloft_upstream_unreadable_rates_total", "Answers whose named rate is no rate",
+           pool.unreadable_rates);
+  text.Add("borageloft_upstream_rate_limit",
+           "Requests per second that the upstream names, in 1/1000",
+           gate_->Load().rate_limit_milli);
   text.Add("borageloft_caller_connections", "Open connections of callers",
            caller_server_->connection_count());
   text.Add("borageloft_declaration_version", "Declaration in force", entry_->version());
--- a/libraries/request_path/header_names.h
+++ b/libraries/request_path/header_names.h
@@ -22,6 +22,9 @@
   std::string caller_service = "Borageloft-Caller-Service";
   /** Running requests, waiting requests and slots of the upstream. */
   std::string upstream_load = "Borageloft-Upstream-Load";
+  /** Requests per second, a decimal number, that the upstream takes from all nodes together for as
+   * long as its answers name it. */
+  std::string upstream_rate_limit = "Borageloft-Upstream-Rate-Limit";
   /** Set by an upstream on its health answers: the id of its instance. Empty if the upstreams set
    * no such header. */
   std::string instance = "";
--- a/libraries/request_path/instance_chooser.cc
+++ b/libraries/request_path/instance_chooser.cc
@@ -32,6 +32,8 @@
 // Time for which an instance that was found unavailable is avoided. If it is gone, its record is
 // removed within this time.
 constexpr std::chrono::milliseconds kAvoidTime{1000};
+// Time for which a reported admission level says which roots a rate-limited instance takes.
+constexpr std::chrono::milliseconds kLevelValidity{1000};
 // Random spread of the scores, so that nodes with the same information choose different instances.
 constexpr double kScoreSpread = 0.2;
 
@@ -43,12 +45,37 @@
 
 }  // namespace
 
+template <typename Services>
+auto InstanceChooser::FindMemberIn(Services& services, const std::string& service,
+                                   const std::string& node) {
+  const auto members = services.find(service);
+  if (members != services.end()) {
+    for (auto& member : members->second) {
+      if (member.record.node == node) {
+        return &member;
+      }
+    }
+  }
+  return decltype(&members->second.front()){nullptr};
+}
+
+InstanceChooser::Member* InstanceChooser::FindMember(const std::string& service,
+                                                     const std::string& node) {
+  return FindMemberIn(services_, service, node);
+}
+
+const InstanceChooser::Member* InstanceChooser::FindMember(const std::string& service,
+                                                           const std::string& node) const {
+  return FindMemberIn(services_, service, node);
+}
+
 void InstanceChooser::Update(const std::map<std::string, directory::InstanceRecord>& records) {
   std::unordered_map<std::string, Members> services;
   for (const auto& [node, record] : records) {
     Member member;
     if (const Member* known = FindMember(record.service, node);
-        known != nullptr && known->record.instance == record.instance) {
+        known != nullptr && directory::MayBeSame({known->record.instance, known->record.born},
+                                                 {record.instance, record.born})) {
       member = *known;
     }
     member.record = record;
@@ -57,16 +84,25 @@
   services_ = std::move(services);
 }
 
-InstanceChooser::Member* InstanceChooser::FindMember(const std::string& service,
-                                                     const std::string& node) {
-  const auto members = services_.find(service);
-  if (members == services_.end()) {
-    return nullptr;
-  }
-  const auto member =
-      std::find_if(members->second.begin(), members->second.end(),
-                   [&](const Member& candidate) { return candidate.record.node == node; });
-  return member == members->second.end() ? nullptr : &*member;
+bool InstanceChooser::IsBeyondRateLimit(const Member& member, const RootPosition& root,
+                                        base::TimePoint now) {
+  return member.rate_limit_milli > 0 && now - member.reported_at < kLevelValidity &&
+         !member.level.Admits(root.priority + 1, root.key);
+}
+
+std::uint32_t InstanceChooser::RateLimitMilli(const std::string& service,
+                                              const std::string& node) const {
+  const Member* member = FindMember(service, node);
+  return member == nullptr ? 0 : member->rate_limit_milli;
+}
+
+bool InstanceChooser::HasInstanceWithoutRateLimit(const std::string& service) const {
+  const auto found = services_.find(service);
+  return found != services_.end() &&
+         std::any_of(found->second.begin(), found->second.end(), [](const Member& member) {
+           return member.rate_limit_milli == 0 &&
+                  member.record.state == directory::InstanceState::kServing;
+         });
 }
 
 double InstanceChooser::UtilizationOf(const Member& member, base::TimePoint now) const {
@@ -104,7 +140,8 @@
 
 const directory::InstanceRecord* InstanceChooser::Choose(
     const std::string& service, wire::RequestOrigin origin, const std::vector<std::string>& tried,
-    CandidateFilter filter, base::TimePoint now, const base::Random& random) {
+    CandidateFilter filter, base::TimePoint now, const base::Random& random,
+    const RootPosition& root) {
   const auto found = services_.find(service);
   if (found == services_.end()) {
     return nullptr;
@@ -136,7 +173,7 @@
       rank = kUnavailableRank;
     } else if (UtilizationOf(member, now) < kFullUtilization &&
                FailureRateOf(member, now) < kFailingRate &&
-               member.record.slowdown_steps < kSlowSteps) {
+               member.record.slowdown_steps < kSlowSteps && !IsBeyondRateLimit(member, root, now)) {
       rank = ZoneCrossingsOf(member.record, origin);
     }
     const double spread = 1 + kScoreSpread * (base::DrawFraction(random) - 0.5);
@@ -168,6 +205,8 @@
   if (load != nullptr && load->limit > 0) {
     member->reported_utilization = static_cast<double>(load->in_flight) / load->limit;
     member->reported_at = now;
+    member->rate_limit_milli = load->rate_limit_milli;
+    member->level = {load->level_rank, load->level_share};
   }
   const double took_ms = 1e3 * Seconds(took);
   // A cancelled attempt would have taken at least this long.
--- a/libraries/request_path/instance_chooser.h
+++ b/libraries/request_path/instance_chooser.h
@@ -9,7 +9,9 @@
 #include <unordered_map>
 #include <vector>
 
+#include "libraries/admission/admission.h"
 #include "libraries/directory/directory.h"
+#include "libraries/request_path/root_position.h"
 #include "libraries/wire/wire.h"
 
 namespace borageloft::request_path {
@@ -54,12 +56,14 @@
    * @param origin Whether this is a request of a caller or a call of an upstream.
    * @param tried Nodes that were tried before.
    * @param filter Whether the tried nodes are excluded or are the only candidates.
+   * @param root The root request, for instances that limit their rate and take the first roots.
    * @return The record of the chosen instance; null if there is no candidate.
    */
   const directory::InstanceRecord* Choose(const std::string& service, wire::RequestOrigin origin,
                                           const std::vector<std::string>& tried,
                                           CandidateFilter filter, base::TimePoint now,
-                                          const base::Random& random);
+                                          const base::Random& random,
+                                          const RootPosition& root = {});
 
   /** Records that an attempt was sent to the instance at @p node. */
   void RecordStart(const std::string& service, const std::string& node);
@@ -73,6 +77,13 @@
                  AttemptOutcome outcome, base::Duration took, const wire::LoadReport* load,
                  base::TimePoint now);
 
+  /** @return Rate that the instance at @p node named last, in thousandths of a request per second;
+   * 0 if it named none. */
+  std::uint32_t RateLimitMilli(const std::string& service, const std::string& node) const;
+
+  /** @return Whether a serving instance of the service names no limit of its rate. */
+  bool HasInstanceWithoutRateLimit(const std::string& service) const;
+
   /** @return Mean latency of the instances with a known latency, in milliseconds; 0 if none has. */
   double MeanLatencyMs(const std::string& service) const;
 
@@ -96,6 +107,8 @@
     double failure_rate = 0;  // Moving average share of attempts that failed or were refused.
     double reported_utilization = 0;  // Share of the slots in use as last reported by the gate.
     base::TimePoint reported_at{};
+    std::uint32_t rate_limit_milli = 0;         // As last reported by the gate; 0 without a limit.
+    admission::AdmissionLevel level;            // As last reported by the gate.
     base::TimePoint latency_updated_at{};       // When `latency_ms` last changed.
     base::TimePoint failure_rate_updated_at{};  // When `failure_rate` last changed.
     base::TimePoint avoid_until{};              // Set after an attempt that ended as kUnavailable.
@@ -104,7 +117,12 @@
   using Members = std::vector<Member>;
 
   Member* FindMember(const std::string& service, const std::string& node);
+  const Member* FindMember(const std::string& service, const std::string& node) const;
+  template <typename Services>
+  static auto FindMemberIn(Services& services, const std::string& service, const std::string& node);
   double UtilizationOf(const Member& member, base::TimePoint now) const;
+  static bool IsBeyondRateLimit(const Member& member, const RootPosition& root,
+                                base::TimePoint now);
   std::uint32_t ZoneCrossingsOf(const directory::InstanceRecord& record,
                                 wire::RequestOrigin origin) const;
   static double FailureRateOf(const Member& member, base::TimePoint now);
--- a/libraries/request_path/local_gate.cc
+++ b/libraries/request_path/local_gate.cc
@@ -1,6 +1,7 @@
 #include "libraries/request_path/local_gate.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 #include <vector>
 
@@ -48,23 +49,23 @@
   const base::TimePoint now = clock_();
   const std::uint64_t id = next_id_++;
   Refusal refusal = FindRefusal(request, now);
+  CheckIncarnation();
+  if (refusal == Refusal::kNone) {
+    rate_limit_.Suggest(request.placement.rate_limit_milli, now);
+  }
   TrackedRequest tracked;
   tracked.arrived = now;
   tracked.deadline = now + request.remaining;
   tracked.wait_until = now + WaitLimit(request);
-  tracked.instance = instance_.instance();
+  tracked.incarnation = instance_.incarnation();
   const admission::ClassRank importance = RankOf(request.placement);
   const admission::ShedKey key(request.placement.shed_key);
   tracked.queue_key = {level_.level().Admits(importance, key) ? 0 : importance,
                        tracked.wait_until + request.placement.priority * kPriorityDelay, id};
   level_.RecordArrival(importance, key);
-  const bool has_room = running_ < Limit() && waiting_.empty();
+  const bool has_room = CanStart(now) && waiting_.empty();
   if (refusal == Refusal::kNone && !has_room) {
-    const auto ahead = static_cast<std::size_t>(
-        std::distance(waiting_.begin(), waiting_.lower_bound(tracked.queue_key)));
-    if (now + ExpectedWait(ahead) > tracked.wait_until) {
-      refusal = Refusal::kQueueFull;
-    }
+    refusal = FindOverload(tracked.queue_key, now, tracked.wait_until);
   }
   if (refusal != Refusal::kNone) {
     ++counters_.refused;
@@ -113,6 +114,58 @@
   return request.remaining <= base::Duration::zero() ? Refusal::kDeadlinePassed : Refusal::kNone;
 }
 
+Refusal LocalGate::FindOverload(const QueueKey& key, base::TimePoint now,
+                                base::TimePoint wait_until) {
+  const auto ahead =
+      static_cast<std::size_t>(std::distance(waiting_.begin(), waiting_.lower_bound(key)));
+  if (now + ExpectedWait(ahead) > wait_until) {
+    return Refusal::kQueueFull;
+  }
+  return now + rate_limit_.WaitBehind(ahead, now) > wait_until ? Refusal::kRateLimited
+                                                               : Refusal::kNone;
+}
+
+void LocalGate::CheckIncarnation() {
+  const directory::Incarnation current = instance_.incarnation();
+  if (!directory::MayBeSame(current, incarnation_)) {
+    rate_limit_.Reset();
+  }
+  incarnation_ = current;
+}
+
+void LocalGate::LearnFromAnswer(const TrackedRequest& tracked, const wire::Response& response,
+                                base::TimePoint now) {
+  CheckIncarnation();
+  const bool is_answer = response.outcome != wire::Outcome::kUnknown && response.status != 0;
+  if (!is_answer || !directory::MayBeSame(tracked.incarnation, incarnation_)) {
+    return;
+  }
+  const std::uint32_t milli = response.load.rate_limit_milli;
+  if ((milli > 0) != (rate_limit_.milli() > 0)) {
+    base::Log(base::LogLevel::kInfo, "upstream_rate_changed",
+              {{"instance", incarnation_.instance},
+               {"request", tracked.request_id},
+               {"per_second", milli / 1000.0},
+               {"before", rate_limit_.milli() / 1000.0},
+               {"running", static_cast<Json::UInt64>(running_)}});
+  }
+  rate_limit_.Learn(milli, now);
+}
+
+bool LocalGate::CanStart(base::TimePoint now) {
+  return running_ < Limit() && rate_limit_.HasToken(now);
+}
+
+// By Little's law, an upstream that takes a limited rate runs no more than this at once.
+std::size_t LocalGate::ExpectedConcurrency() const {
+  if (rate_limit_.milli() == 0 || service_time_ms_ == 0) {
+    return Limit();
+  }
+  const auto concurrency =
+      static_cast<std::size_t>(std::ceil(rate_limit_.rate() * service_time_ms_ / 1e3));
+  return std::clamp<std::size_t>(concurrency, 1, Limit());
+}
+
 std::size_t LocalGate::Limit() const {
   const auto limit = static_cast<std::size_t>(options_.slot_share * instance_.slots());
   return std::max<std::size_t>(1, limit);
@@ -128,6 +181,7 @@
   const base::TimePoint now = clock_();
   tracked.is_running = true;
   tracked.started = now;
+  rate_limit_.Take(now);
   ++running_;
   running_ids_[tracked.request_id] = id;
   ++counters_.started;
@@ -147,13 +201,13 @@
 }
 
 void LocalGate::StartNext() {
-  while (!waiting_.empty() && running_ < Limit()) {
+  while (!waiting_.empty() && CanStart(clock_())) {
     const std::uint64_t id = waiting_.begin()->second;
     waiting_.erase(waiting_.begin());
     const base::TimePoint now = clock_();
     const TrackedRequest& tracked = requests_.at(id);
     const Refusal refusal = tracked.deadline <= now ? Refusal::kDeadlinePassed
-                            : tracked.instance != instance_.instance()
+                            : !directory::MayBeSame(tracked.incarnation, instance_.incarnation())
                                 ? Refusal::kInstanceGone
                                 : FindRefusal(tracked.request, now);
     if (refusal != Refusal::kNone) {
@@ -172,10 +226,11 @@
   TrackedRequest tracked = std::move(found->second);
   requests_.erase(found);
   VERIFY(tracked.is_running && running_ > 0);
-  level_.RecordFinish(static_cast<double>(running_) / static_cast<double>(Limit()));
+  level_.RecordFinish(static_cast<double>(running_) / static_cast<double>(ExpectedConcurrency()));
   ReleaseSlot(tracked, id);
+  const base::TimePoint now = clock_();
+  LearnFromAnswer(tracked, response, now);
   if (response.outcome == wire::Outcome::kRan) {
-    const base::TimePoint now = clock_();
     const double took = Milliseconds(now - tracked.started);
     slowness_.RecordEnd(tracked.placement.origin, now - tracked.started, now);
     if (tracked.has_failed_call && response.status >= kFirstServerError) {
@@ -246,8 +301,12 @@
     }
   }
   StartNext();
-  const double throughput =
-      service_time_ms_ > 0 ? 1e3 * static_cast<double>(Limit()) / service_time_ms_ : 0;
+  const auto concurrency = static_cast<double>(ExpectedConcurrency());
+  const double throughput = service_time_ms_ > 0 ? 1e3 * concurrency / service_time_ms_ : 0;
+  // A request waits for its token even when the rate suffices.
+  const base::Duration token_interval =
+      rate_limit_.milli() > 0 ? FromMilliseconds(1e3 / rate_limit_.rate()) : base::Duration::zero();
+  level_.set_target_delay(std::max(options_.target_delay, token_interval));
   level_.Update(OldestWait(now), throughput, now);
 }
 
@@ -290,9 +349,10 @@
   load.level_rank = level.rank();
   load.level_share = level.share();
   load.in_flight = static_cast<std::uint32_t>(running_ + waiting_.size());
-  load.limit = static_cast<std::uint32_t>(Limit());
+  load.limit = static_cast<std::uint32_t>(ExpectedConcurrency());
   load.service_time = FromMilliseconds(service_time_ms_);
   load.is_leaving = instance_.leaving_since().has_value();
+  load.rate_limit_milli = rate_limit_.milli();
   return load;
 }
 
--- a/libraries/request_path/local_gate.h
+++ b/libraries/request_path/local_gate.h
@@ -13,6 +13,7 @@
 #include "libraries/request_path/decision_log.h"
 #include "libraries/request_path/refusal.h"
 #include "libraries/request_path/slowness_tracker.h"
+#include "libraries/request_path/upstream_rate_limit.h"
 #include "libraries/timer/timer.h"
 #include "libraries/wire/wire.h"
 
@@ -131,14 +132,20 @@
     bool is_running = false;
     bool has_failed_call = false;
     CancelHook cancel;
-    std::string instance;
+    directory::Incarnation incarnation;
     std::string request_id;
     wire::Placement placement;
   };
 
   base::Duration WaitLimit(const wire::Request& request) const;
   Refusal FindRefusal(const wire::Request& request, base::TimePoint now) const;
+  Refusal FindOverload(const QueueKey& key, base::TimePoint now, base::TimePoint wait_until);
   std::size_t Limit() const;
+  std::size_t ExpectedConcurrency() const;
+  bool CanStart(base::TimePoint now);
+  void LearnFromAnswer(const TrackedRequest& tracked, const wire::Response& response,
+                       base::TimePoint now);
+  void CheckIncarnation();
   base::Duration OldestWait(base::TimePoint now) const;
   void ReleaseSlot(const TrackedRequest& tracked, std::uint64_t id);
   base::Duration ExpectedWait(std::size_t ahead) const;
@@ -161,6 +168,8 @@
   std::unordered_map<std::string, std::uint64_t> running_ids_;
   std::function<admission::AdmissionLevel()> downstream_level_;
   admission::LevelController level_;
+  UpstreamRateLimit rate_limit_;
+  directory::Incarnation incarnation_;  // Whose rate limit is known.
   bool is_taking_ = true;
   std::size_t running_ = 0;
   std::uint64_t next_id_ = 1;
--- a/libraries/request_path/refusal.cc
+++ b/libraries/request_path/refusal.cc
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::array<std::pair<Refusal, std::string_view>, 19> kTexts = {{
+constexpr std::array<std::pair<Refusal, std::string_view>, 20> kTexts = {{
     {Refusal::kNone, "none"},
     {Refusal::kNoDeclaration, "no_declaration"},
     {Refusal::kNodeLeaving, "node_leaving"},
@@ -19,6 +19,7 @@
     {Refusal::kInstanceLeaving, "instance_leaving"},
     {Refusal::kInstanceUnreachable, "instance_unreachable"},
     {Refusal::kQueueFull, "queue_full"},
+    {Refusal::kRateLimited, "rate_limited"},
     {Refusal::kWaitedTooLong, "waited_too_long"},
     {Refusal::kShedAtEntry, "shed_at_entry"},
     {Refusal::kDeadlinePassed, "deadline_passed"},
--- a/libraries/request_path/refusal.h
+++ b/libraries/request_path/refusal.h
@@ -17,6 +17,7 @@
   kInstanceLeaving,      // The gate's instance is draining, or its node is about to stop.
   kInstanceUnreachable,  // The instance does not accept connections.
   kQueueFull,            // The expected wait is too long, or the upstream rejected the request.
+  kRateLimited,          // The expected wait for the rate that the upstream names is too long.
   kWaitedTooLong,        // No slot became free within the wait limit.
   kShedAtEntry,          // The entry shed the request in favour of more important ones.
   kDeadlinePassed,       // The caller's deadline or the route's timeout passed.
--- a/libraries/request_path/request_path.h
+++ b/libraries/request_path/request_path.h
@@ -10,7 +10,9 @@
 #include "libraries/request_path/local_gate.h"
 #include "libraries/request_path/refusal.h"
 #include "libraries/request_path/retry_budget.h"
+#include "libraries/request_path/root_position.h"
 #include "libraries/request_path/slowness_tracker.h"
 #include "libraries/request_path/upstream_pool.h"
+#include "libraries/request_path/upstream_rate_limit.h"
 
 #endif  // BORAGELOFT_REQUEST_PATH_REQUEST_PATH_H_
--- a/libraries/request_path/request_run.cc
+++ b/libraries/request_path/request_run.cc
@@ -95,14 +95,19 @@
   if (reached_.size() < plan_.route.attempts) {
     const directory::InstanceRecord* fresh =
         chooser.Choose(plan_.service, plan_.origin, tried_, CandidateFilter::kExcludeTried, now,
-                       entry_.hooks_.random);
+                       entry_.hooks_.random, Root());
     if (fresh != nullptr) {
       return fresh;
     }
   }
-  return may_have_run_ ? nullptr
-                       : chooser.Choose(plan_.service, plan_.origin, reached_,
-                                        CandidateFilter::kOnlyTried, now, entry_.hooks_.random);
+  return may_have_run_
+             ? nullptr
+             : chooser.Choose(plan_.service, plan_.origin, reached_, CandidateFilter::kOnlyTried,
+                              now, entry_.hooks_.random, Root());
+}
+
+RootPosition RequestRun::Root() const {
+  return {plan_.priority, admission::ShedKey(plan_.shed_key)};
 }
 
 wire::Request RequestRun::MakeRequest(const directory::InstanceRecord& instance,
@@ -122,6 +127,7 @@
   // Calls made by a retried run count as retries.
   request.placement.attempt = arrivals_ + (plan_.is_below_retry ? 2 : 1);
   request.placement.wait_limit = WaitLimit();
+  request.placement.rate_limit_milli = entry_.chooser_.RateLimitMilli(plan_.service, instance.node);
   request.placement.is_idempotent = plan_.route.repetition == declaration::Repetition::kIdempotent;
   return request;
 }
@@ -157,13 +163,21 @@
 }
 
 void RequestRun::RecordEnd(const wire::Response& response, base::TimePoint now) {
-  const wire::LoadReport* load = response.load.limit > 0 ? &response.load : nullptr;
-  if (load != nullptr) {
+  // A gate that has another instance than the one asked for reports the load of that instance.
+  const bool is_of_instance = RefusalOf(response.reason) != Refusal::kInstanceGone;
+  const wire::LoadReport* load =
+      response.load.limit > 0 && is_of_instance ? &response.load : nullptr;
+  entry_.chooser_.RecordEnd(plan_.service, attempt_->node, attempt_->instance, Classify(response),
+                            now - attempt_->started, load, now);
+  // What one instance refuses for its named rate goes to those that name none; their levels decide
+  // about the service.
+  const bool limits_service =
+      load != nullptr &&
+      (load->rate_limit_milli == 0 || !entry_.chooser_.HasInstanceWithoutRateLimit(plan_.service));
+  if (limits_service) {
     entry_.levels_.Report(plan_.service, base::Hash(attempt_->node),
                           {load->level_rank, load->level_share}, now);
   }
-  entry_.chooser_.RecordEnd(plan_.service, attempt_->node, attempt_->instance, Classify(response),
-                            now - attempt_->started, load, now);
 }
 
 void RequestRun::HandleEnd(std::uint64_t number, wire::Response response) {
@@ -227,8 +241,8 @@
   const bool makes_calls = !entry_.chooser_.IsLeaf(plan_.service);
   return entry_.budget_.TakeRetry(
       plan_.service,
-      may_have_run_ && makes_calls ? RetryKind::kRepeatsCalls : RetryKind::kOneArrival,
-      {plan_.priority, admission::ShedKey(plan_.shed_key)}, now);
+      may_have_run_ && makes_calls ? RetryKind::kRepeatsCalls : RetryKind::kOneArrival, Root(),
+      now);
 }
 
 void RequestRun::HandleTimeout() {
--- a/libraries/request_path/request_run.h
+++ b/libraries/request_path/request_run.h
@@ -54,6 +54,7 @@
   const directory::InstanceRecord* ChooseNext(base::TimePoint now);
   wire::Request MakeRequest(const directory::InstanceRecord& instance, base::TimePoint now) const;
   base::Duration WaitLimit() const;
+  RootPosition Root() const;
   void HandleEnd(std::uint64_t number, wire::Response response);
   void RecordEnd(const wire::Response& response, base::TimePoint now);
   static AttemptOutcome Classify(const wire::Response& response);
--- a/libraries/request_path/retry_budget.cc
+++ b/libraries/request_path/retry_budget.cc
@@ -88,12 +88,12 @@
   window.highest_in_interval = 0;
 }
 
-std::uint32_t RetryBudget::PositionOf(const RetryRoot& root) {
+std::uint32_t RetryBudget::PositionOf(const RootPosition& root) {
   return std::min(root.priority, kPriorities - 1) * admission::ShedKey::kPositions +
          root.key.position();
 }
 
-bool RetryBudget::TakeRetry(const std::string& service, RetryKind kind, const RetryRoot& root,
+bool RetryBudget::TakeRetry(const std::string& service, RetryKind kind, const RootPosition& root,
                             base::TimePoint now) {
   Window& window = windows_[service];
   Advance(window, now);
--- a/libraries/request_path/retry_budget.h
+++ b/libraries/request_path/retry_budget.h
@@ -6,8 +6,8 @@
 #include <string>
 #include <unordered_map>
 
-#include "libraries/admission/admission.h"
 #include "libraries/base/base.h"
+#include "libraries/request_path/root_position.h"
 
 namespace borageloft::request_path {
 
@@ -17,14 +17,6 @@
   kRepeatsCalls,  // The request may have run; a retry makes its calls again at all services below.
 };
 
-/** Root request to which a retry belongs. */
-struct RetryRoot {
-  /** 0 is the most important. */
-  std::uint32_t priority = 0;
-  /** Position of the root within its priority; the same at every node. */
-  admission::ShedKey key;
-};
-
 /** Limits on the retries to one service, over all nodes. */
 struct RetryBudgetOptions {
   /** Retries allowed per request, over all nodes. */
@@ -56,7 +48,7 @@
   void RecordRequest(const std::string& service, base::TimePoint now);
 
   /** @return Whether a request for @p service may be retried; if so, the retry is counted. */
-  bool TakeRetry(const std::string& service, RetryKind kind, const RetryRoot& root,
+  bool TakeRetry(const std::string& service, RetryKind kind, const RootPosition& root,
                  base::TimePoint now);
 
  private:
@@ -90,7 +82,7 @@
   static constexpr double kImportantRejectedShare = 0.65;
   static constexpr double kMayHaveRunShare = 0.12;
 
-  static std::uint32_t PositionOf(const RetryRoot& root);
+  static std::uint32_t PositionOf(const RootPosition& root);
   void Advance(Window& window, base::TimePoint now) const;
   double Budget(const Window& window) const;
   void AdjustLevel(Window& window, double limit, base::TimePoint now) const;
--- a/libraries/request_path/upstream_connection.cc
+++ b/libraries/request_path/upstream_connection.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
+#include <limits>
 #include <utility>
 
 namespace borageloft::request_path {
@@ -15,6 +17,19 @@
 
 base::TimePoint Now() { return base::SystemClock()(); }
 
+// Returns the rate in thousandths of a request per second, or nothing if @p text is no rate. A rate
+// of 0 becomes the lowest one that is distinct from no rate.
+std::optional<std::uint32_t> ParseRateMilli(const std::string& text) {
+  double rate = 0;
+  const auto parsed = std::from_chars(text.data(), text.data() + text.size(), rate);
+  if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size() || !std::isfinite(rate) ||
+      rate < 0) {
+    return std::nullopt;
+  }
+  constexpr double kMaximum = std::numeric_limits<std::uint32_t>::max();
+  return static_cast<std::uint32_t>(std::clamp(std::round(rate * 1000), 1.0, kMaximum));
+}
+
 }  // namespace
 
 UpstreamConnection::UpstreamConnection(UpstreamPool& pool)
@@ -201,12 +216,27 @@
   wire::Response response;
   response.outcome = is_not_run ? wire::Outcome::kNotRun : wire::Outcome::kRan;
   response.status = message.status;
+  response.load.rate_limit_milli = ReadRateLimit(message.fields);
   http_stream::RemoveConnectionFields(message.fields);
   response.headers = std::move(message.fields);
   response.body = std::move(message.body);
   Finish(std::move(response));
 }
 
+std::uint32_t UpstreamConnection::ReadRateLimit(const http_stream::Fields& fields) {
+  const std::string* text = http_stream::FindField(fields, pool_->names_.upstream_rate_limit);
+  if (text == nullptr) {
+    return 0;
+  }
+  const std::optional<std::uint32_t> milli = ParseRateMilli(*text);
+  // Logged once, since an upstream repeats it in each answer; the others are counted.
+  if (!milli && ++pool_->counters_.unreadable_rates == 1) {
+    base::Log(base::LogLevel::kWarning, "upstream_rate_unreadable",
+              {{"request", request_id_}, {"text", text->substr(0, 32)}});
+  }
+  return milli.value_or(0);
+}
+
 void UpstreamConnection::UpdateIdleLimit(const http_stream::Fields& fields) {
   const std::string* value = http_stream::FindField(fields, "keep-alive");
   if (value == nullptr) {
--- a/libraries/request_path/upstream_pool.h
+++ b/libraries/request_path/upstream_pool.h
@@ -34,6 +34,7 @@
   std::uint64_t connect_failures = 0;
   std::uint64_t reused = 0;
   std::uint64_t mismatched_answers = 0;  // Answers with another request id, and unsolicited data.
+  std::uint64_t unreadable_rates = 0;    // Answers whose named rate is no number from 0 on.
   std::uint64_t invalid_answers = 0;     // Malformed answers, and successes without a seal header.
 };
 
--- a/libraries/wire/frame.h
+++ b/libraries/wire/frame.h
@@ -53,6 +53,8 @@
   std::uint32_t attempt = 1;
   base::Duration wait_limit{};  // Longest useful wait for a slot.
   bool is_idempotent = false;
+  /** Rate that the instance named when it last answered the sender, as in LoadReport. */
+  std::uint32_t rate_limit_milli = 0;
 
   friend bool operator==(const Placement&, const Placement&) = default;
 };
@@ -82,6 +84,8 @@
   std::uint32_t level_rank = 0;   // Admission level: the class that is admitted in part.
   std::uint32_t level_share = 0;  // Admission level: how many of its shed keys are admitted.
   bool is_leaving = false;
+  /** Rate that the upstream names, in thousandths of a request per second; 0 if it names none. */
+  std::uint32_t rate_limit_milli = 0;
 
   friend bool operator==(const LoadReport&, const LoadReport&) = default;
 };
--- a/libraries/wire/frame_codec.cc
+++ b/libraries/wire/frame_codec.cc
@@ -166,6 +166,7 @@
     visit(frame.placement.attempt);
     visit(frame.placement.wait_limit);
     visit(frame.placement.is_idempotent);
+    visit(frame.placement.rate_limit_milli);
   } else if constexpr (std::is_same_v<Type, Response>) {
     visit(frame.generation);
     visit(frame.stream);
@@ -180,6 +181,7 @@
     visit(frame.load.level_rank);
     visit(frame.load.level_share);
     visit(frame.load.is_leaving);
+    visit(frame.load.rate_limit_milli);
     visit(frame.unspent_allowance);
     visit(frame.retry_after);
   } else if constexpr (std::is_same_v<Type, Cancel>) {
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -119,6 +119,11 @@
   }
 }
 
+TEST(PlatformDialectTest, NamesWhatUpstreamsSayInTheirAnswers) {
+  const request_path::HeaderNames names = MakePlatformDialect().headers;
+  EXPECT_EQ(names.upstream_rate_limit, "Server-Limit");
+}
+
 TEST(PlatformDialectTest, ReadsEachCall) {
   const mesh::Dialect dialect = MakePlatformDialect();
   http_stream::RequestMessage ready;
--- a/tests/request_path/entry_test.cc
+++ b/tests/request_path/entry_test.cc
@@ -97,13 +97,15 @@
   }
 
   void End(std::size_t place, wire::Outcome outcome, unsigned status,
-           Refusal refusal = Refusal::kNone, admission::AdmissionLevel level = {}) {
-    EndSent(*sent_[place], outcome, status, refusal, level);
+           Refusal refusal = Refusal::kNone, admission::AdmissionLevel level = {},
+           std::uint32_t rate_limit_milli = 0) {
+    EndSent(*sent_[place], outcome, status, refusal, level, rate_limit_milli);
   }
 
   static void EndSent(const Sent& sent, wire::Outcome outcome, unsigned status, Refusal refusal,
-                      admission::AdmissionLevel level) {
+                      admission::AdmissionLevel level, std::uint32_t rate_limit_milli = 0) {
     wire::Response response;
+    response.load.rate_limit_milli = rate_limit_milli;
     response.outcome = outcome;
     response.status = status;
     response.reason = std::string(TextOf(refusal));
@@ -351,6 +353,33 @@
   EXPECT_FALSE(*Ask({}, "r-3"));
 }
 
+// Guards against a node that restarts and does not know the rate that its upstream has named, and
+// against shedding for one instance what another has room for.
+TEST_F(EntryTest, PassesOnANamedRateAndShedsOnlyWhenAllInstancesNameOne) {
+  Declare(declaration::Repetition::kIdempotent);
+  const admission::AdmissionLevel closed(1, 0);
+  Ask();
+  const std::string limited = sent_[0]->node;
+  End(0, wire::Outcome::kRan, 200, Refusal::kNone, closed, 7000);
+  EXPECT_FALSE(*Ask({}, "a"));
+  EXPECT_NE(sent_[1]->node, limited);
+  End(1, wire::Outcome::kNotRun, 0, Refusal::kQueueFull);
+  ASSERT_EQ(sent_.size(), 3U);
+  EXPECT_EQ(sent_[2]->node, limited);
+  EXPECT_EQ(sent_[2]->request.placement.rate_limit_milli, 7000U);
+  End(2, wire::Outcome::kRan, 200, Refusal::kNone, closed, 7000);
+  Advance(seconds(3));
+  EXPECT_FALSE(*Ask({}, "b"));
+  if (sent_[3]->node == limited) {
+    End(3, wire::Outcome::kNotRun, 0, Refusal::kQueueFull, closed, 7000);
+  }
+  ASSERT_NE(sent_.back()->node, limited);
+  End(sent_.size() - 1, wire::Outcome::kRan, 200, Refusal::kNone, closed, 7000);
+  const auto shed = Ask({}, "d");
+  ASSERT_TRUE(*shed);
+  EXPECT_EQ((*shed)->status, 503U);
+}
+
 // Guards against a refusal or a retry without a log line that has the request's id.
 TEST_F(EntryTest, LogsEachRefusalAndRetry) {
   Declare(declaration::Repetition::kAtMostOnce);
--- a/tests/request_path/instance_chooser_test.cc
+++ b/tests/request_path/instance_chooser_test.cc
@@ -35,8 +35,12 @@
     return counts;
   }
   void End(const std::string& node, AttemptOutcome outcome, milliseconds took,
-           std::uint32_t in_flight = 0) {
+           std::uint32_t in_flight = 0, std::uint32_t rate_limit_milli = 0,
+           admission::AdmissionLevel level = {}) {
     wire::LoadReport load;
+    load.rate_limit_milli = rate_limit_milli;
+    load.level_rank = level.rank();
+    load.level_share = level.share();
     load.in_flight = in_flight;
     load.limit = 10;
     chooser_.RecordStart("parts", node);
@@ -172,5 +176,31 @@
   EXPECT_FALSE(chooser_.IsLeaf("parts"));
 }
 
+// Guards against sending an instance that limits its rate more than it takes while others are free.
+TEST_F(InstanceChooserTest, RootsBeyondANamedRateGoToOtherInstances) {
+  Add("near", "here");
+  Add("far", "there");
+  constexpr std::uint32_t kHalf = admission::ShedKey::kPositions / 2;
+  End("near", AttemptOutcome::kServed, milliseconds(80), 1, 5000, {1, kHalf});
+  const auto choose = [&](std::uint32_t position) {
+    return chooser_
+        .Choose("parts", wire::RequestOrigin::kCaller, {}, CandidateFilter::kExcludeTried, now_,
+                random_, {0, admission::ShedKey(std::uint64_t{position} << 48U)})
+        ->node;
+  };
+  EXPECT_EQ(choose(0), "near");
+  EXPECT_EQ(choose(kHalf), "far");
+  EXPECT_EQ(chooser_.RateLimitMilli("parts", "near"), 5000U);
+  EXPECT_TRUE(chooser_.HasInstanceWithoutRateLimit("parts"));
+  End("far", AttemptOutcome::kServed, milliseconds(80), 1, 5000);
+  EXPECT_FALSE(chooser_.HasInstanceWithoutRateLimit("parts"));
+  records_["near"].born = 7;  // The first heartbeat after the node has found its instance.
+  chooser_.Update(records_);
+  EXPECT_EQ(chooser_.RateLimitMilli("parts", "near"), 5000U);
+  records_["near"].born = 8;
+  chooser_.Update(records_);
+  EXPECT_EQ(chooser_.RateLimitMilli("parts", "near"), 0U);
+}
+
 }  // namespace
 }  // namespace borageloft::request_path
--- a/tests/request_path/local_gate_test.cc
+++ b/tests/request_path/local_gate_test.cc
@@ -22,6 +22,12 @@
   void SetUp() override {
     base::ReplaceLogSink([](std::string_view) {});
     SendHeartbeat(1);
+    StartGate();
+  }
+
+  /** Replaces the gate, like a restart of the node; the upstream goes on. */
+  void StartGate() {
+    gate_.reset();
     LocalGateOptions options;
     options.slot_share = 1;
     gate_ = std::make_unique<LocalGate>(
@@ -57,10 +63,11 @@
     return {ticket, end};
   }
 
-  void Finish(std::size_t place) {
+  void Finish(std::size_t place, std::uint32_t rate_limit_milli = 0) {
     wire::Response response;
     response.outcome = wire::Outcome::kRan;
     response.status = 200;
+    response.load.rate_limit_milli = rate_limit_milli;
     const ResponseHandler handler = running_[place].handler;
     handler(std::move(response));
   }
@@ -275,5 +282,99 @@
   EXPECT_EQ(gate_->Load().level_share, 100U);
 }
 
+/** An upstream with many slots that names a rate in its answers. */
+class RateLimitedGateTest : public LocalGateTest {
+ protected:
+  static constexpr double kRate = 14.4;
+  static constexpr std::uint32_t kRateMilli = 14'400;
+
+  void SetUp() override {
+    LocalGateTest::SetUp();
+    instance_.HandleHeartbeat({"i-1", "parts", 10, 2, directory::InstanceState::kServing, 80, {}},
+                              now_);
+  }
+
+  /** Submits eight times the rate and answers each request after 50 ms. */
+  void Load(milliseconds time, std::uint32_t known_milli, std::uint32_t named_milli) {
+    const base::TimePoint end = now_ + time;
+    base::TimePoint next = now_;
+    while (now_ < end) {
+      for (; next <= now_; next += base::Duration(seconds(1)) / static_cast<int>(8 * kRate)) {
+        wire::Request request;
+        request.context.root = "r-" + std::to_string(++submitted_);
+        request.remaining = seconds(2);
+        request.placement.instance = "i-1";
+        request.placement.wait_limit = milliseconds(300);
+        request.placement.rate_limit_milli = known_milli;
+        gate_->Submit(std::move(request), [this](const wire::Response& response) {
+          last_load_ = response.load;
+          ++refusals_[response.reason];
+        });
+      }
+      for (; started_.size() < running_.size(); started_.push_back(now_)) {
+        most_in_window_ = std::max(most_in_window_, CountSince(now_ - seconds(4)) + 1);
+      }
+      for (; ended_ < started_.size() && now_ - started_[ended_] >= milliseconds(50); ++ended_) {
+        Finish(ended_, named_milli);
+      }
+      Advance(milliseconds(5));
+    }
+  }
+
+  std::size_t CountSince(base::TimePoint since) const {
+    return static_cast<std::size_t>(std::count_if(
+        started_.begin(), started_.end(), [&](base::TimePoint start) { return start > since; }));
+  }
+
+  int submitted_ = 0;
+  std::deque<base::TimePoint> started_;
+  std::size_t ended_ = 0;
+  std::size_t most_in_window_ = 0;
+  std::map<std::string, int> refusals_;
+  wire::LoadReport last_load_;
+};
+
+// Guards against an upstream in need that gets more requests than it has named (LIMIT).
+TEST_F(RateLimitedGateTest, AnUpstreamGetsNoMoreThanTheRateThatItNames) {
+  Load(milliseconds(500), 0, kRateMilli);
+  most_in_window_ = 0;
+  started_.clear();
+  ended_ = 0;
+  running_.clear();
+  Load(seconds(12), 0, kRateMilli);
+  EXPECT_LE(static_cast<double>(most_in_window_), 1.5 * 4 * kRate + 5);
+  EXPECT_GE(static_cast<double>(started_.size()), 0.9 * 12 * kRate);
+  EXPECT_GT(refusals_["rate_limited"], 0);
+  EXPECT_EQ(last_load_.rate_limit_milli, kRateMilli);
+  EXPECT_LT(last_load_.limit, 8U);
+}
+
+// Guards against a restarted node that gives its upstream a full load before the first answer names
+// the limit, although the other nodes know it.
+TEST_F(RateLimitedGateTest, ARestartedNodeKeepsToTheRateThatOthersKnow) {
+  Load(seconds(5), 0, kRateMilli);
+  running_.clear();
+  ended_ = started_.size();
+  most_in_window_ = 0;
+  running_.resize(started_.size());
+  StartGate();
+  Load(seconds(5), kRateMilli, kRateMilli);
+  EXPECT_LE(static_cast<double>(most_in_window_), 1.5 * 4 * kRate + 5);
+}
+
+// Guards against a limit that outlives the need of the upstream or its process.
+TEST_F(RateLimitedGateTest, TheLimitEndsWithTheNeed) {
+  Load(seconds(2), 0, kRateMilli);
+  ASSERT_EQ(gate_->Load().rate_limit_milli, kRateMilli);
+  Load(seconds(1), 0, 0);
+  EXPECT_EQ(gate_->Load().rate_limit_milli, 0U);
+  Load(seconds(2), 0, kRateMilli);
+  ASSERT_EQ(gate_->Load().rate_limit_milli, kRateMilli);
+  instance_.HandleHeartbeat({"i-1", "parts", 20, 1, directory::InstanceState::kServing, 80, {}},
+                            now_);
+  Submit("new");
+  EXPECT_EQ(gate_->Load().rate_limit_milli, 0U);
+}
+
 }  // namespace
 }  // namespace borageloft::request_path
--- a/tests/request_path/retry_budget_test.cc
+++ b/tests/request_path/retry_budget_test.cc
@@ -9,7 +9,7 @@
 
 using std::chrono::milliseconds;
 
-RetryRoot DrawRoot(const base::Random& random) {
+RootPosition DrawRoot(const base::Random& random) {
   return {static_cast<std::uint32_t>(base::DrawBelow(random, 3)), admission::ShedKey(random())};
 }
 
@@ -113,7 +113,8 @@
   while (now < end) {
     now += milliseconds(1);
     // One root in four is important.
-    const RetryRoot root{base::DrawBelow(random, 4) == 0 ? 0U : 1U, admission::ShedKey(random())};
+    const RootPosition root{base::DrawBelow(random, 4) == 0 ? 0U : 1U,
+                            admission::ShedKey(random())};
     bool is_served = true;
     for (int call = 0; call < kCalls && is_served; ++call) {
       budget.RecordRequest("deep", now);
--- a/tests/request_path/upstream_pool_test.cc
+++ b/tests/request_path/upstream_pool_test.cc
@@ -17,6 +17,10 @@
     options.endpoint = {"127.0.0.1", acceptor_.local_endpoint().port()};
     pool_ = std::make_unique<UpstreamPool>(
         context_, options, names_, [] {}, [] {});
+  }
+
+  // Accepts one connection and answers its first request.
+  void Accept() {
     acceptor_.async_accept(socket_, [this](const asio::error_code& error) {
       ASSERT_FALSE(error);
       asio::async_read_until(socket_, asio::dynamic_buffer(request_), "\r\n\r\n",
@@ -30,8 +34,9 @@
   base::TimePoint Deadline() const { return base::SystemClock()() + std::chrono::seconds(30); }
   template <typename Done>
   void RunUntil(const Done& done) {
+    context_.restart();
     while (!done()) {
-      context_.run_one();
+      ASSERT_GT(context_.run_one(), 0U) << "nothing is left to wait for";
     }
   }
 
@@ -47,6 +52,7 @@
 
 // Guards against rejecting a health answer because it has no seal header.
 TEST_F(UpstreamPoolTest, PassesOnAHealthAnswerWithoutSeal) {
+  Accept();
   std::optional<http_stream::ResponseMessage> got;
   pool_->AskHealth("/health", Deadline(),
                    [&](const http_stream::ResponseMessage& answer) { got = answer; });
@@ -58,6 +64,7 @@
 
 // Guards against passing a success to a caller that the upstream did not produce.
 TEST_F(UpstreamPoolTest, RefusesASuccessWithoutSeal) {
+  Accept();
   std::optional<wire::Response> got;
   wire::Request request;
   request.method = "GET";
@@ -70,5 +77,29 @@
   EXPECT_EQ(got->reason, TextOf(Refusal::kUpstreamGarbled));
 }
 
+// Guards against a named rate that is lost, and against a text that is no rate.
+TEST_F(UpstreamPoolTest, ReadsTheRateThatTheUpstreamNames) {
+  const std::vector<std::pair<std::string, std::uint32_t>> rates = {
+      {"14.4", 14'400}, {"0", 1},  {"0.0001", 1}, {"7", 7000}, {"1e99", UINT32_MAX},
+      {"", 0},          {"-1", 0}, {"nan", 0},    {"inf", 0},  {"5 ", 0}};
+  for (const auto& [text, milli] : rates) {
+    SCOPED_TRACE(text);
+    socket_ = tcp::socket(context_);
+    request_.clear();
+    Accept();
+    answer_ = "HTTP/1.1 500 Oops\r\nBorageloft-Upstream-Rate-Limit: " + text +
+              "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+    std::optional<wire::Response> got;
+    wire::Request request;
+    request.method = "GET";
+    request.path = "/a";
+    request.headers.push_back({"Host", "a"});
+    pool_->Run(std::move(request), Deadline(),
+               [&](wire::Response response) { got = std::move(response); });
+    RunUntil([&] { return got.has_value(); });
+    EXPECT_EQ(got->load.rate_limit_milli, milli);
+  }
+}
+
 }  // namespace
 }  // namespace borageloft::request_path
