RequestPath: End the requests to an upstream whose answers say that it leaves

Nothing read it: a leave was known from heartbeats only, to the gate alone, and lost with its restart.

The gate takes such an answer as a leave, unless it is of an earlier process. Entries remember what an instance has said across a restart of its node and send it nothing 700 ms later, so that a gate that has lost its state gets no request for it. The first heartbeat of an instance found by a probe no longer reverts the leave.

Tests (each fails without its part of the change, the fields are new): LocalGateTest.AnAnswerThatSaysLeavingEndsTheRequestsToTheUpstream, InstanceChooserTest.AnInstanceThatSaidThatItLeavesGetsNothingMore, LocalInstanceTest.AnAdoptedInstanceThatLeavesStaysLeaving.

--- a/libraries/directory/local_instance.cc
+++ b/libraries/directory/local_instance.cc
@@ -18,13 +18,15 @@
       (is_same_process && heartbeat.sequence <= heartbeat_.sequence)) {
     return HeartbeatOutcome::kLate;
   }
-  const bool has_left = leaving_since_.has_value() && is_same_process;
+  // The heartbeats of an adopted instance tell its start for the first time.
+  const bool is_adopted = heartbeat_.born == 0 && heartbeat.instance == heartbeat_.instance;
+  const bool has_left = leaving_since_.has_value() && (is_same_process || is_adopted);
   const bool is_new = !is_same_process || !is_known();
   heartbeat_ = heartbeat;
   newest_start_ = heartbeat.born;
   heard_at_ = now;
   is_suspect_ = false;
-  if (!is_same_process) {
+  if (!is_same_process && !is_adopted) {
     leaving_since_.reset();
   }
   // A process that is leaving never serves again; later serving heartbeats do not change that.
--- a/libraries/request_path/header_names.h
+++ b/libraries/request_path/header_names.h
@@ -25,6 +25,8 @@
   /** Requests per second, a decimal number, that the upstream takes from all nodes together for as
    * long as its answers name it. */
   std::string upstream_rate_limit = "Borageloft-Upstream-Rate-Limit";
+  /** Set to "1" by an upstream that is leaving on all of its answers. */
+  std::string upstream_leaving = "Borageloft-Upstream-Leaving";
   /** Set by an upstream on its health answers: the id of its instance. Empty if the upstreams set
    * no such header. */
   std::string instance = "";
--- a/libraries/request_path/instance_chooser.cc
+++ b/libraries/request_path/instance_chooser.cc
@@ -34,6 +34,9 @@
 constexpr std::chrono::milliseconds kAvoidTime{1000};
 // Time for which a reported admission level says which roots a rate-limited instance takes.
 constexpr std::chrono::milliseconds kLevelValidity{1000};
+// Time for which an instance that said that it leaves is still tried if there is no other. As long
+// as its gate takes requests; then the entry refuses them, since the gate may have restarted.
+constexpr std::chrono::milliseconds kLeaveGrace{700};
 // Random spread of the scores, so that nodes with the same information choose different instances.
 constexpr double kScoreSpread = 0.2;
 
@@ -59,6 +62,36 @@
   return decltype(&members->second.front()){nullptr};
 }
 
+void InstanceChooser::RememberAbsent(
+    const std::map<std::string, directory::InstanceRecord>& records) {
+  for (const auto& [service, members] : services_) {
+    for (const Member& member : members) {
+      const auto record = records.find(member.record.node);
+      const bool is_kept =
+          record != records.end() && record->second.service == service &&
+          directory::MayBeSame(IncarnationOf(member.record), IncarnationOf(record->second));
+      if (!is_kept && (member.told.rate_limit_milli > 0 || member.told.leaving_since)) {
+        absent_.emplace_back(IncarnationOf(member.record), member.told);
+      }
+    }
+  }
+  while (absent_.size() > kMaxAbsent) {
+    absent_.pop_front();
+  }
+}
+
+InstanceChooser::Told InstanceChooser::TakeAbsent(const directory::Incarnation& incarnation) {
+  const auto found = std::find_if(absent_.begin(), absent_.end(), [&](const auto& candidate) {
+    return directory::MayBeSame(candidate.first, incarnation);
+  });
+  if (found == absent_.end()) {
+    return {};
+  }
+  const Told told = found->second;
+  absent_.erase(found);
+  return told;
+}
+
 InstanceChooser::Member* InstanceChooser::FindMember(const std::string& service,
                                                      const std::string& node) {
   return FindMemberIn(services_, service, node);
@@ -70,13 +103,16 @@
 }
 
 void InstanceChooser::Update(const std::map<std::string, directory::InstanceRecord>& records) {
+  RememberAbsent(records);
   std::unordered_map<std::string, Members> services;
   for (const auto& [node, record] : records) {
     Member member;
     if (const Member* known = FindMember(record.service, node);
-        known != nullptr && directory::MayBeSame({known->record.instance, known->record.born},
-                                                 {record.instance, record.born})) {
+        known != nullptr &&
+        directory::MayBeSame(IncarnationOf(known->record), IncarnationOf(record))) {
       member = *known;
+    } else {
+      member.told = TakeAbsent(IncarnationOf(record));
     }
     member.record = record;
     services[record.service].push_back(std::move(member));
@@ -86,21 +122,21 @@
 
 bool InstanceChooser::IsBeyondRateLimit(const Member& member, const RootPosition& root,
                                         base::TimePoint now) {
-  return member.rate_limit_milli > 0 && now - member.reported_at < kLevelValidity &&
+  return member.told.rate_limit_milli > 0 && now - member.reported_at < kLevelValidity &&
          !member.level.Admits(root.priority + 1, root.key);
 }
 
 std::uint32_t InstanceChooser::RateLimitMilli(const std::string& service,
                                               const std::string& node) const {
   const Member* member = FindMember(service, node);
-  return member == nullptr ? 0 : member->rate_limit_milli;
+  return member == nullptr ? 0 : member->told.rate_limit_milli;
 }
 
 bool InstanceChooser::HasInstanceWithoutRateLimit(const std::string& service) const {
   const auto found = services_.find(service);
   return found != services_.end() &&
          std::any_of(found->second.begin(), found->second.end(), [](const Member& member) {
-           return member.rate_limit_milli == 0 &&
+           return member.told.rate_limit_milli == 0 &&
                   member.record.state == directory::InstanceState::kServing;
          });
 }
@@ -163,12 +199,14 @@
   double best_score = 0;
   for (const Member& member : found->second) {
     const bool was_tried = std::find(tried.begin(), tried.end(), member.record.node) != tried.end();
-    if (was_tried != (filter == CandidateFilter::kOnlyTried)) {
+    const bool has_left =
+        member.told.leaving_since && now - *member.told.leaving_since >= kLeaveGrace;
+    if (has_left || was_tried != (filter == CandidateFilter::kOnlyTried)) {
       continue;
     }
     std::uint32_t rank = kFullRank;
     const bool is_silent = is_silent_ && is_silent_(member.record.node);
-    if (is_silent || member.avoid_until > now ||
+    if (is_silent || member.avoid_until > now || member.told.leaving_since ||
         member.record.state == directory::InstanceState::kLeaving) {
       rank = kUnavailableRank;
     } else if (UtilizationOf(member, now) < kFullUtilization &&
@@ -205,8 +243,11 @@
   if (load != nullptr && load->limit > 0) {
     member->reported_utilization = static_cast<double>(load->in_flight) / load->limit;
     member->reported_at = now;
-    member->rate_limit_milli = load->rate_limit_milli;
+    member->told.rate_limit_milli = load->rate_limit_milli;
     member->level = {load->level_rank, load->level_share};
+    if (load->is_leaving && !member->told.leaving_since) {
+      member->told.leaving_since = now;
+    }
   }
   const double took_ms = 1e3 * Seconds(took);
   // A cancelled attempt would have taken at least this long.
--- a/libraries/request_path/instance_chooser.h
+++ b/libraries/request_path/instance_chooser.h
@@ -2,11 +2,13 @@
 #define BORAGELOFT_REQUEST_PATH_INSTANCE_CHOOSER_H_
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "libraries/admission/admission.h"
@@ -100,14 +102,20 @@
   double Utilization(const std::string& service, base::TimePoint now) const;
 
  private:
+  // What an instance has said in its answers.
+  struct Told {
+    std::uint32_t rate_limit_milli = 0;  // 0 if the last answer names no limit.
+    std::optional<base::TimePoint> leaving_since;
+  };
+
   struct Member {
     directory::InstanceRecord record;
+    Told told;
     std::uint32_t in_flight = 0;
     double latency_ms = 0;    // Zero until the first answer.
     double failure_rate = 0;  // Moving average share of attempts that failed or were refused.
     double reported_utilization = 0;  // Share of the slots in use as last reported by the gate.
     base::TimePoint reported_at{};
-    std::uint32_t rate_limit_milli = 0;         // As last reported by the gate; 0 without a limit.
     admission::AdmissionLevel level;            // As last reported by the gate.
     base::TimePoint latency_updated_at{};       // When `latency_ms` last changed.
     base::TimePoint failure_rate_updated_at{};  // When `failure_rate` last changed.
@@ -116,6 +124,16 @@
 
   using Members = std::vector<Member>;
 
+  // Number of instances without a record whose answers are remembered: the record of a node that
+  // restarts returns after some seconds.
+  static constexpr std::size_t kMaxAbsent = 256;
+
+  static directory::Incarnation IncarnationOf(const directory::InstanceRecord& record) {
+    return {record.instance, record.born};
+  }
+  Told TakeAbsent(const directory::Incarnation& incarnation);
+  void RememberAbsent(const std::map<std::string, directory::InstanceRecord>& records);
+
   Member* FindMember(const std::string& service, const std::string& node);
   const Member* FindMember(const std::string& service, const std::string& node) const;
   template <typename Services>
@@ -131,6 +149,7 @@
   std::string zone_;
   std::function<bool(const std::string& node)> is_silent_;
   std::unordered_map<std::string, Members> services_;
+  std::deque<std::pair<directory::Incarnation, Told>> absent_;  // The oldest comes first.
 };
 
 }  // namespace borageloft::request_path
--- a/libraries/request_path/local_gate.cc
+++ b/libraries/request_path/local_gate.cc
@@ -150,6 +150,11 @@
                {"running", static_cast<Json::UInt64>(running_)}});
   }
   rate_limit_.Learn(milli, now);
+  if (response.load.is_leaving && !instance_.leaving_since()) {
+    base::Log(base::LogLevel::kInfo, "instance_leaving_in_answer",
+              {{"instance", incarnation_.instance}, {"request", tracked.request_id}});
+    instance_.HandleLeave(incarnation_.instance, now);
+  }
 }
 
 bool LocalGate::CanStart(base::TimePoint now) {
--- a/libraries/request_path/upstream_connection.cc
+++ b/libraries/request_path/upstream_connection.cc
@@ -217,6 +217,8 @@
   response.outcome = is_not_run ? wire::Outcome::kNotRun : wire::Outcome::kRan;
   response.status = message.status;
   response.load.rate_limit_milli = ReadRateLimit(message.fields);
+  const std::string* leaving = http_stream::FindField(message.fields, names.upstream_leaving);
+  response.load.is_leaving = leaving != nullptr && *leaving == "1";
   http_stream::RemoveConnectionFields(message.fields);
   response.headers = std::move(message.fields);
   response.body = std::move(message.body);
--- a/tests/directory/directory_test.cc
+++ b/tests/directory/directory_test.cc
@@ -72,6 +72,17 @@
   EXPECT_EQ(instance_.leaving_since(), base::TimePoint{});
 }
 
+// Guards against the first heartbeat of an adopted instance that reverts what its answers have
+// said.
+TEST_F(LocalInstanceTest, AnAdoptedInstanceThatLeavesStaysLeaving) {
+  instance_.Adopt("i-1", 4, now_);
+  instance_.HandleLeave("i-1", now_);
+  SendHeartbeat("i-1", 10, 3);
+  EXPECT_EQ(instance_.leaving_since(), now_);
+  SendHeartbeat("i-1", 20, 1);
+  EXPECT_FALSE(instance_.leaving_since());
+}
+
 // Guards against keeping an instance that crashed without announcing its leaving.
 TEST_F(LocalInstanceTest, ForgetsASilentInstance) {
   SendHeartbeat("i-1", 10, 1);
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -122,6 +122,7 @@
 TEST(PlatformDialectTest, NamesWhatUpstreamsSayInTheirAnswers) {
   const request_path::HeaderNames names = MakePlatformDialect().headers;
   EXPECT_EQ(names.upstream_rate_limit, "Server-Limit");
+  EXPECT_EQ(names.upstream_leaving, "Server-Leaving");
 }
 
 TEST(PlatformDialectTest, ReadsEachCall) {
--- a/tests/request_path/instance_chooser_test.cc
+++ b/tests/request_path/instance_chooser_test.cc
@@ -202,5 +202,33 @@
   EXPECT_EQ(chooser_.RateLimitMilli("parts", "near"), 0U);
 }
 
+// Guards against requests to a leaving instance whose node has restarted and does not know of the
+// leave (DRAIN).
+TEST_F(InstanceChooserTest, AnInstanceThatSaidThatItLeavesGetsNothingMore) {
+  Add("near", "here");
+  wire::LoadReport load;
+  load.limit = 10;
+  load.is_leaving = true;
+  chooser_.RecordStart("parts", "near");
+  chooser_.RecordEnd("parts", "near", "i-near", AttemptOutcome::kServed, milliseconds(80), &load,
+                     now_);
+  EXPECT_EQ(Choose(), "near");
+  now_ += milliseconds(700);
+  EXPECT_EQ(Choose(), "");
+  const directory::InstanceRecord record = records_["near"];
+  records_.erase("near");
+  chooser_.Update(records_);
+  records_["near"] = record;
+  records_["near"].epoch = 2;
+  chooser_.Update(records_);
+  EXPECT_EQ(Choose(), "");
+  records_["near"].born = 7;
+  chooser_.Update(records_);
+  EXPECT_EQ(Choose(), "");
+  records_["near"].born = 8;
+  chooser_.Update(records_);
+  EXPECT_EQ(Choose(), "near");
+}
+
 }  // namespace
 }  // namespace borageloft::request_path
--- a/tests/request_path/local_gate_test.cc
+++ b/tests/request_path/local_gate_test.cc
@@ -282,6 +282,28 @@
   EXPECT_EQ(gate_->Load().level_share, 100U);
 }
 
+// Guards against requests that reach an upstream long after its answers say that it leaves (DRAIN).
+TEST_F(LocalGateTest, AnAnswerThatSaysLeavingEndsTheRequestsToTheUpstream) {
+  Submit("a");
+  Submit("b");
+  wire::Response response;
+  response.outcome = wire::Outcome::kRan;
+  response.status = 200;
+  response.load.is_leaving = true;
+  const ResponseHandler handler = running_[0].handler;
+  handler(response);
+  EXPECT_TRUE(instance_.leaving_since());
+  EXPECT_TRUE(gate_->Load().is_leaving);
+  Advance(milliseconds(700));
+  const auto refused = Submit("c").second;
+  ASSERT_TRUE(refused->has_value());
+  EXPECT_EQ((*refused)->reason, TextOf(Refusal::kInstanceLeaving));
+  instance_.HandleHeartbeat({"i-1", "parts", 20, 1, directory::InstanceState::kServing, 2, {}},
+                            now_);
+  running_[1].handler(response);  // Of the process before.
+  EXPECT_FALSE(instance_.leaving_since());
+}
+
 /** An upstream with many slots that names a rate in its answers. */
 class RateLimitedGateTest : public LocalGateTest {
  protected:
--- a/tests/request_path/upstream_pool_test.cc
+++ b/tests/request_path/upstream_pool_test.cc
@@ -77,8 +77,8 @@
   EXPECT_EQ(got->reason, TextOf(Refusal::kUpstreamGarbled));
 }
 
-// Guards against a named rate that is lost, and against a text that is no rate.
-TEST_F(UpstreamPoolTest, ReadsTheRateThatTheUpstreamNames) {
+// Guards against a named rate or leave that is lost, and against a text that is no rate.
+TEST_F(UpstreamPoolTest, ReadsWhatTheUpstreamSaysOfItself) {
   const std::vector<std::pair<std::string, std::uint32_t>> rates = {
       {"14.4", 14'400}, {"0", 1},  {"0.0001", 1}, {"7", 7000}, {"1e99", UINT32_MAX},
       {"", 0},          {"-1", 0}, {"nan", 0},    {"inf", 0},  {"5 ", 0}};
@@ -87,8 +87,10 @@
     socket_ = tcp::socket(context_);
     request_.clear();
     Accept();
-    answer_ = "HTTP/1.1 500 Oops\r\nBorageloft-Upstream-Rate-Limit: " + text +
-              "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+    answer_ =
+        "HTTP/1.1 500 Oops\r\nBorageloft-Upstream-Leaving: " + std::string(milli == 0 ? "1" : "0") +
+        "\r\nBorageloft-Upstream-Rate-Limit: " + text +
+        "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
     std::optional<wire::Response> got;
     wire::Request request;
     request.method = "GET";
@@ -98,6 +100,7 @@
                [&](wire::Response response) { got = std::move(response); });
     RunUntil([&] { return got.has_value(); });
     EXPECT_EQ(got->load.rate_limit_milli, milli);
+    EXPECT_EQ(got->load.is_leaving, milli == 0);
   }
 }
 
