--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -75,6 +75,16 @@
   }
 }
 
+// Guards against a process that ends because of a configuration from another writer.
+TEST(ConfigurationCodecTest, RefusesDeepNestingAndHugeNumbers) {
+  for (const std::string& value :
+       {std::string(200'000, '['), std::string("1e400"), std::string("-1e400"),
+        "{\"a\":" + std::string(2000, '[') + std::string(2000, ']') + "}"}) {
+    EXPECT_TRUE(FaultAfterReplacing("\"weight\":90", "\"weight\":" + value));
+    EXPECT_TRUE(FaultAfterReplacing("\"max_conns\":5", "\"max_conns\":" + value));
+  }
+}
+
 TEST(ConfigurationCodecTest, ReadsVersions) {
   EXPECT_EQ(ParseVersion("r12"), 12U);
   EXPECT_EQ(ParseVersion("0"), 0U);
@@ -105,6 +115,18 @@
       {"\"born\"", "\"bron\""},
       {"\"service\":\"a\"", "\"service\":null"},
       {"{\"addr\"", "[\"addr\""},
+      {"\"slots\":8", "\"slots\":4294967296"},
+      {"\"slots\":8", "\"slots\":18446744073709551615"},
+      {"\"slots\":8", "\"slots\":1e400"},
+      {"\"seq\":4", "\"seq\":18446744073709551615"},
+      {"1700000000000", "18446744073709551615"},
+      {"\"cold_left_ms\":0", "\"cold_left_ms\":1e300"},
+      {"10.0.0.9:80", "10.0.0.9:65536"},
+      {"10.0.0.9:80", "10.0.0.9:0"},
+      {"10.0.0.9:80", "10.0.0.9"},
+      {"\"cold_left_ms\":0", "\"cold_left_ms\":" + std::string(200'000, '[')},
+      {"\"cold_left_ms\":0",
+       "\"x\":" + std::string(900, '[') + std::string(900, ']') + ",\"cold_left_ms\":-1e300"},
   };
   for (const auto& [from, to] : corruptions) {
     std::string corrupted = text;
