RequestPath: Attribute refusals on kept connections to their request

Reported by other operators: a faulty upstream wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for a request that ran (REFUSED), or it ran twice (TWICE). It can happen here in two ways: a refusal without an id was taken for the request in progress, and a request that was sent again to the upstream that had refused it could use the same connection, where the repeated refusal bears its id.

On a connection that has carried other requests, a refusal without an id leaves the outcome open and ends the connection; a request is not sent on a connection on which it was refused before.

KeepAliveUpstreamTest.ARepeatedRefusalIsNoAnswerToALaterRequest failed before: not run instead of unknown, one connection instead of three.

--- a/libraries/request_path/upstream_connection.cc
+++ b/libraries/request_path/upstream_connection.cc
@@ -13,6 +13,8 @@
 constexpr unsigned kMisdirected = 421;
 // An idle connection is not reused within this time before the upstream's own idle timeout.
 constexpr std::chrono::milliseconds kIdleMargin{1000};
+// Refused requests that a connection remembers before it is closed.
+constexpr std::size_t kMaxRefusedIds = 32;
 constexpr std::size_t kAnswerHeaderBytes = 32 * 1024;
 
 base::TimePoint Now() { return base::SystemClock()(); }
@@ -101,6 +103,7 @@
   output_ = http_stream::SerializeRequest(message_);
   message_ = {};
   is_writing_ = true;
+  ++requests_;
   is_written_ = true;  // From here on the upstream may receive the request.
   asio::async_write(socket_, asio::buffer(output_),
                     [self = shared_from_this()](const asio::error_code& error, std::size_t) {
@@ -196,9 +199,25 @@
   return id != nullptr && *id != request_id_;
 }
 
+// A faulty upstream may write an earlier refusal once more. On a connection that has carried other
+// requests, one without an id may be of any of them.
+bool UpstreamConnection::IsRefusalOfUnknownRequest(
+    const http_stream::ResponseMessage& message) const {
+  const HeaderNames& names = pool_->names_;
+  const bool is_refusal = message.status == kMisdirected ||
+                          http_stream::FindField(message.fields, names.not_run) != nullptr;
+  return is_refusal && requests_ > 1 &&
+         http_stream::FindField(message.fields, names.request_id) == nullptr;
+}
+
 void UpstreamConnection::Deliver(http_stream::ResponseMessage message) {
   constexpr unsigned kFirstFailure = 300;
   const HeaderNames& names = pool_->names_;
+  if (IsRefusalOfUnknownRequest(message)) {
+    ++pool_->counters_.mismatched_answers;
+    Fail(wire::Outcome::kUnknown, Refusal::kUpstreamGarbled);
+    return;
+  }
   if (message.status == kMisdirected) {
     pool_->on_other_instance_();
     must_close_ = true;
@@ -213,6 +232,10 @@
     Fail(wire::Outcome::kUnknown, Refusal::kUpstreamGarbled);
     return;
   }
+  if (is_not_run) {
+    refused_ids_.push_back(request_id_);
+    must_close_ = must_close_ || refused_ids_.size() >= kMaxRefusedIds;
+  }
   wire::Response response;
   response.outcome = is_not_run ? wire::Outcome::kNotRun : wire::Outcome::kRan;
   response.status = message.status;
--- a/libraries/request_path/upstream_connection.h
+++ b/libraries/request_path/upstream_connection.h
@@ -1,10 +1,12 @@
 #ifndef BORAGELOFT_REQUEST_PATH_UPSTREAM_CONNECTION_H_
 #define BORAGELOFT_REQUEST_PATH_UPSTREAM_CONNECTION_H_
 
+#include <algorithm>
 #include <array>
 #include <asio.hpp>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "libraries/http_stream/http_stream.h"
 #include "libraries/request_path/upstream_pool.h"
@@ -33,6 +35,11 @@
   /** Closes the connection; the handler of a request in progress is not called. */
   void Close();
 
+  /** @return Whether the request @p id was refused on this connection. */
+  bool HasRefused(const std::string& id) const {
+    return std::find(refused_ids_.begin(), refused_ids_.end(), id) != refused_ids_.end();
+  }
+
   bool is_open() const { return !is_closed_; }
   /** @return Time from which an idle connection must not be reused. */
   base::TimePoint usable_until() const { return usable_until_; }
@@ -49,6 +56,7 @@
   void Finish(wire::Response response);
   void UpdateIdleLimit(const http_stream::Fields& fields);
   std::uint32_t ReadRateLimit(const http_stream::Fields& fields);
+  bool IsRefusalOfUnknownRequest(const http_stream::ResponseMessage& message) const;
   bool IsForOtherRequest(const http_stream::ResponseMessage& message) const;
 
   UpstreamPool* pool_;
@@ -60,6 +68,8 @@
   ResponseHandler handler_;
   AnswerCheck check_ = AnswerCheck::kSeal;
   std::string request_id_;
+  std::vector<std::string> refused_ids_;
+  std::size_t requests_ = 0;  // Sent on this connection.
   base::TimePoint deadline_{};
   http_stream::RequestMessage message_;
   base::TimePoint usable_until_{};
--- a/libraries/request_path/upstream_pool.cc
+++ b/libraries/request_path/upstream_pool.cc
@@ -24,7 +24,7 @@
 
 CancelHook UpstreamPool::Run(wire::Request request, base::TimePoint deadline,
                              ResponseHandler handler) {
-  std::shared_ptr<UpstreamConnection> connection = TakeIdle();
+  std::shared_ptr<UpstreamConnection> connection = TakeIdle(request.context.root);
   if (connection == nullptr) {
     connection = std::make_shared<UpstreamConnection>(*this);
     all_.insert(connection);
@@ -69,15 +69,16 @@
       AnswerCheck::kNone);
 }
 
-std::shared_ptr<UpstreamConnection> UpstreamPool::TakeIdle() {
+std::shared_ptr<UpstreamConnection> UpstreamPool::TakeIdle(const std::string& request_id) {
   const base::TimePoint now = base::SystemClock()();
-  while (!idle_.empty()) {
-    std::shared_ptr<UpstreamConnection> connection = idle_.back();
-    idle_.pop_back();
-    if (connection->is_open() && connection->usable_until() > now) {
+  for (std::size_t i = idle_.size(); i > 0; --i) {
+    const std::shared_ptr<UpstreamConnection> connection = idle_[i - 1];
+    if (!connection->is_open() || connection->usable_until() <= now) {
+      connection->Close();  // Also removes it from the idle ones.
+    } else if (!connection->HasRefused(request_id)) {
+      idle_.erase(idle_.begin() + static_cast<std::ptrdiff_t>(i - 1));
       return connection;
     }
-    connection->Close();
   }
   return nullptr;
 }
--- a/libraries/request_path/upstream_pool.h
+++ b/libraries/request_path/upstream_pool.h
@@ -81,7 +81,9 @@
  private:
   friend class UpstreamConnection;
 
-  std::shared_ptr<UpstreamConnection> TakeIdle();
+  // Takes an idle connection on which @p request_id was not refused: a refusal that is repeated
+  // there would look like the answer to a second attempt.
+  std::shared_ptr<UpstreamConnection> TakeIdle(const std::string& request_id);
   void Return(const std::shared_ptr<UpstreamConnection>& connection);
   void Remove(const std::shared_ptr<UpstreamConnection>& connection);
 
--- a/tests/request_path/upstream_pool_test.cc
+++ b/tests/request_path/upstream_pool_test.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <deque>
+
 #include "libraries/request_path/request_path.h"
 
 namespace borageloft::request_path {
@@ -104,5 +106,86 @@
   }
 }
 
+/** An upstream that keeps its connections open and answers the requests in turn. */
+class KeepAliveUpstreamTest : public UpstreamPoolTest {
+ protected:
+  struct Connection {
+    explicit Connection(asio::io_context& context) : socket(context) {}
+    tcp::socket socket;
+    std::string request;
+    std::string answer;
+  };
+
+  void SetUp() override {
+    UpstreamPoolTest::SetUp();
+    AcceptNext();
+  }
+
+  void AcceptNext() {
+    connections_.push_back(std::make_unique<Connection>(context_));
+    acceptor_.async_accept(
+        connections_.back()->socket,
+        [this, connection = connections_.back().get()](const asio::error_code& error) {
+          if (!error) {
+            Serve(*connection);
+            AcceptNext();
+          }
+        });
+  }
+
+  void Serve(Connection& connection) {
+    connection.request.clear();
+    asio::async_read_until(
+        connection.socket, asio::dynamic_buffer(connection.request), "\r\n\r\n",
+        [this, &connection](const asio::error_code& error, std::size_t) {
+          if (error || answers_.empty()) {
+            return;
+          }
+          connection.answer = answers_.front();
+          answers_.pop_front();
+          asio::async_write(
+              connection.socket, asio::buffer(connection.answer),
+              [this, &connection](const asio::error_code&, std::size_t) { Serve(connection); });
+        });
+  }
+
+  static std::string Refusal(const std::string& id) {
+    return "HTTP/1.1 503 Busy\r\nBorageloft-Not-Run: 1\r\n" +
+           (id.empty() ? "" : "Borageloft-Request-Id: " + id + "\r\n") +
+           "Content-Length: 0\r\n\r\n";
+  }
+
+  wire::Response Ask(const std::string& id) {
+    std::optional<wire::Response> got;
+    wire::Request request;
+    request.method = "GET";
+    request.path = "/a";
+    request.headers = {{"Host", "a"}, {"Borageloft-Request-Id", id}};
+    request.context.root = id;
+    pool_->Run(std::move(request), Deadline(),
+               [&](wire::Response response) { got = std::move(response); });
+    RunUntil([&] { return got.has_value(); });
+    return *got;
+  }
+
+  std::deque<std::string> answers_;
+  std::vector<std::unique_ptr<Connection>> connections_;
+};
+
+// Guards against a refusal that the upstream writes once more and that is taken for the answer to a
+// later request, which runs (REFUSED, TWICE).
+TEST_F(KeepAliveUpstreamTest, ARepeatedRefusalIsNoAnswerToALaterRequest) {
+  answers_ = {Refusal("x"), Refusal(""), Refusal("x"), Refusal("x")};
+  EXPECT_EQ(Ask("x").outcome, wire::Outcome::kNotRun);
+  EXPECT_EQ(pool_->idle_count(), 1U);
+  // Without an id, the refusal may be of the request before.
+  EXPECT_EQ(Ask("y").outcome, wire::Outcome::kUnknown);
+  EXPECT_EQ(pool_->idle_count(), 0U);
+  EXPECT_EQ(Ask("x").outcome, wire::Outcome::kNotRun);
+  // The same request again: a refusal with its id may be the one before.
+  EXPECT_EQ(Ask("x").outcome, wire::Outcome::kNotRun);
+  EXPECT_EQ(pool_->counters().connections_opened, 3U);
+}
+
 }  // namespace
 }  // namespace borageloft::request_path
