RequestPath: Bound the answers without end that a node holds

A head was bounded at 32 kB and a body at 8 MiB, but for each connection alone: with the 76 requests that one upstream may run, 600 MB in a process of 160 MB. Interim responses were not bounded at all.

All incomplete answers together are bounded by held_megabytes, as request bodies are, and 16 interim responses in a row are malformed. The outcome is unknown, the connection is closed.

Test: KeepAliveUpstreamTest.AnAnswerWithoutEndIsCut.

--- a/libraries/http_stream/message_parser.cc
+++ b/libraries/http_stream/message_parser.cc
@@ -10,6 +10,8 @@
 constexpr int kSkipBody = 1;
 constexpr int kAbort = -1;
 constexpr unsigned kFirstFinalStatus = 200;
+// Interim responses before a final one; a peer that sends more does not come to an end.
+constexpr unsigned kMaxInterimResponses = 16;
 
 }  // namespace
 
@@ -142,6 +144,10 @@
     header_bytes_ = 0;
     state_ = ParseState::kIdle;
     expects_no_body_ = expects_no_body;
+    if (++interim_responses_ > kMaxInterimResponses) {
+      state_ = ParseState::kMalformed;
+      return kAbort;
+    }
     return kContinueParsing;
   }
   keeps_alive_ = http_should_keep_alive(&parser_) != 0;
@@ -175,6 +181,7 @@
   is_in_value_ = false;
   body_.clear();
   header_bytes_ = 0;
+  interim_responses_ = 0;
   expects_no_body_ = false;
   expects_continue_ = false;
   keeps_alive_ = true;
--- a/libraries/http_stream/message_parser.h
+++ b/libraries/http_stream/message_parser.h
@@ -60,6 +60,8 @@
 
   ParseState state() const { return state_; }
   bool has_failed() const;
+  /** @return Bytes of the current message that are in memory. */
+  std::size_t held_bytes() const { return header_bytes_ + body_.size(); }
   /** @return Whether the current request has the field `Expect: 100-continue`. */
   bool expects_continue() const { return expects_continue_; }
 
@@ -89,6 +91,7 @@
   bool is_in_value_ = false;
   std::string body_;
   std::size_t header_bytes_ = 0;
+  unsigned interim_responses_ = 0;
   bool expects_no_body_ = false;
   bool expects_continue_ = false;
   bool keeps_alive_ = true;
--- a/libraries/mesh/mesh_node.cc
+++ b/libraries/mesh/mesh_node.cc
@@ -80,6 +80,7 @@
   const MeshSettings& settings = loop_.settings();
   request_path::UpstreamPoolOptions pool_options;
   pool_options.endpoint = settings.upstream;
+  pool_options.held_bytes = settings.held_megabytes << 20U;
   pool_ = std::make_unique<request_path::UpstreamPool>(
       loop_.context(), pool_options, dialect_.headers, [this] { instance_.Suspect(); },
       [this] { instance_.Suspect(); });
--- a/libraries/request_path/upstream_connection.cc
+++ b/libraries/request_path/upstream_connection.cc
@@ -151,7 +151,14 @@
       Fail(wire::Outcome::kUnknown, Refusal::kUpstreamGarbled);
       return;
     }
-    if (parser_.state() == http_stream::ParseState::kComplete) {
+    const bool is_complete = parser_.state() == http_stream::ParseState::kComplete;
+    UpdateHeldBytes(is_complete ? 0 : parser_.held_bytes());
+    if (pool_->held_bytes_ > pool_->options_.held_bytes) {
+      ++pool_->counters_.invalid_answers;
+      Fail(wire::Outcome::kUnknown, Refusal::kTooManyBytes);
+      return;
+    }
+    if (is_complete) {
       // Data after the answer: the connection is not reused.
       must_close_ = must_close_ || !bytes.empty();
       HandleAnswer();
@@ -160,6 +167,13 @@
   Read();
 }
 
+void UpstreamConnection::UpdateHeldBytes(std::size_t bytes) {
+  pool_->held_bytes_ += bytes;
+  VERIFY(pool_->held_bytes_ >= held_bytes_);
+  pool_->held_bytes_ -= held_bytes_;
+  held_bytes_ = bytes;
+}
+
 void UpstreamConnection::HandleEnd(const asio::error_code& error) {
   if (!handler_) {
     Close();
@@ -309,6 +323,7 @@
     return;
   }
   is_closed_ = true;
+  UpdateHeldBytes(0);
   handler_ = nullptr;
   asio::error_code ignored;
   connect_timer_.cancel();
--- a/libraries/request_path/upstream_connection.h
+++ b/libraries/request_path/upstream_connection.h
@@ -48,6 +48,7 @@
   void Connect();
   void Write();
   void Read();
+  void UpdateHeldBytes(std::size_t bytes);
   void HandleBytes(std::size_t count);
   void HandleEnd(const asio::error_code& error);
   void HandleAnswer();
@@ -69,7 +70,8 @@
   AnswerCheck check_ = AnswerCheck::kSeal;
   std::string request_id_;
   std::vector<std::string> refused_ids_;
-  std::size_t requests_ = 0;  // Sent on this connection.
+  std::size_t held_bytes_ = 0;  // Of an incomplete answer.
+  std::size_t requests_ = 0;    // Sent on this connection.
   base::TimePoint deadline_{};
   http_stream::RequestMessage message_;
   base::TimePoint usable_until_{};
--- a/libraries/request_path/upstream_pool.h
+++ b/libraries/request_path/upstream_pool.h
@@ -22,6 +22,8 @@
   settings::Endpoint endpoint;
   /** Maximum size of an answer body, in bytes. */
   std::size_t body_bytes = std::size_t{8} << 20U;
+  /** Maximum bytes of incomplete answers on all connections together. */
+  std::size_t held_bytes = std::size_t{48} << 20U;
   /** Idle time after which a connection is not reused, unless the upstream states its timeout. */
   base::Duration idle_limit = std::chrono::seconds(4);
   /** Time limit for connecting to the upstream, which is on the same host. */
@@ -94,6 +96,7 @@
   std::function<void()> on_other_instance_;
   std::vector<std::shared_ptr<UpstreamConnection>> idle_;  // The most recently used one is last.
   std::set<std::shared_ptr<UpstreamConnection>> all_;
+  std::size_t held_bytes_ = 0;
   UpstreamPoolCounters counters_;
 };
 
--- a/tests/request_path/upstream_pool_test.cc
+++ b/tests/request_path/upstream_pool_test.cc
@@ -16,6 +16,7 @@
     names_.seal = "Seal";
     names_.instance = "Instance";
     UpstreamPoolOptions options;
+    options.held_bytes = kHeldBytes;
     options.endpoint = {"127.0.0.1", acceptor_.local_endpoint().port()};
     pool_ = std::make_unique<UpstreamPool>(
         context_, options, names_, [] {}, [] {});
@@ -42,6 +43,8 @@
     }
   }
 
+  static constexpr std::size_t kHeldBytes = std::size_t{1} << 20U;
+
   asio::io_context context_;
   tcp::acceptor acceptor_{context_, tcp::endpoint(asio::ip::address_v4::loopback(), 0)};
   tcp::socket socket_{context_};
@@ -149,7 +152,7 @@
         });
   }
 
-  static std::string Refusal(const std::string& id) {
+  static std::string MakeRefusal(const std::string& id) {
     return "HTTP/1.1 503 Busy\r\nBorageloft-Not-Run: 1\r\n" +
            (id.empty() ? "" : "Borageloft-Request-Id: " + id + "\r\n") +
            "Content-Length: 0\r\n\r\n";
@@ -175,7 +178,7 @@
 // Guards against a refusal that the upstream writes once more and that is taken for the answer to a
 // later request, which runs (REFUSED, TWICE).
 TEST_F(KeepAliveUpstreamTest, ARepeatedRefusalIsNoAnswerToALaterRequest) {
-  answers_ = {Refusal("x"), Refusal(""), Refusal("x"), Refusal("x")};
+  answers_ = {MakeRefusal("x"), MakeRefusal(""), MakeRefusal("x"), MakeRefusal("x")};
   EXPECT_EQ(Ask("x").outcome, wire::Outcome::kNotRun);
   EXPECT_EQ(pool_->idle_count(), 1U);
   // Without an id, the refusal may be of the request before.
@@ -187,5 +190,30 @@
   EXPECT_EQ(pool_->counters().connections_opened, 3U);
 }
 
+// Guards against bytes without end in a head, in interim responses or in a body, which would fill
+// the node's memory or keep its processor busy until the deadline.
+TEST_F(KeepAliveUpstreamTest, AnAnswerWithoutEndIsCut) {
+  std::string interim;
+  for (int i = 0; i < 1000; ++i) {
+    interim += "HTTP/1.1 103 Early Hints\r\n\r\n";
+  }
+  const std::string chunk = "10000\r\n" + std::string(0x10000, 'x') + "\r\n";
+  std::string chunks = "HTTP/1.1 200 OK\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (int i = 0; i < 32; ++i) {
+    chunks += chunk;
+  }
+  answers_ = {"HTTP/1.1 200 OK\r\nX: " + std::string(100'000, 'x'), interim,
+              "HTTP/1.1 200 OK\r\nSeal: s\r\n\r\n" + std::string(2 * kHeldBytes, 'x'), chunks};
+  for (const Refusal cause : {Refusal::kUpstreamGarbled, Refusal::kUpstreamGarbled,
+                              Refusal::kTooManyBytes, Refusal::kTooManyBytes}) {
+    const wire::Response response = Ask("x");
+    EXPECT_EQ(response.outcome, wire::Outcome::kUnknown);
+    EXPECT_EQ(response.reason, TextOf(cause));
+    EXPECT_EQ(pool_->idle_count(), 0U);
+  }
+  answers_ = {"HTTP/1.1 200 OK\r\nSeal: s\r\nContent-Length: 2\r\n\r\nok"};
+  EXPECT_EQ(Ask("x").body, "ok");
+}
+
 }  // namespace
 }  // namespace borageloft::request_path
