Lint: Hash what the compiler sees of each file

The flags now come from compile_commands.json, and a file that cannot be preprocessed fails the check.

Run: the key of libraries/declaration/routes.cc changes with a declaration added in libraries/base/log.h, which it did not before; a file that is missing fails.

--- a/meta/lint.sh
+++ b/meta/lint.sh
@@ -33,7 +33,17 @@
 mkdir -p "$cache"
 export build cache
 check_file() {
-  key=$( { g++ -std=c++20 -I. -DASIO_STANDALONE -E "$1" 2>/dev/null; cat .clang-tidy; echo "$1"; } | sha256sum | cut -d' ' -f1)
+  local flags preprocessed key
+  mapfile -t flags < <(jq -r --arg file "$PWD/$1" '.[] | select(.file == $file) | .command' \
+    "$build/compile_commands.json" | tr ' ' '\n' |
+    awk '/^-(D|I|std=)/ { print } /^-isystem$/ { print; getline; print }')
+  # Without the build's flags the output ends at its first header, and a change behind it is missed.
+  # -P leaves out the paths, so that checkouts in different folders share the results.
+  if ! preprocessed=$(g++ "${flags[@]}" -E -P "$1"); then
+    echo "$1: cannot be preprocessed" >&2
+    return 1
+  fi
+  key=$( { printf '%s' "$preprocessed"; cat .clang-tidy; echo "$1"; } | sha256sum | cut -d' ' -f1)
   [ -e "$cache/$key" ] && return 0
   clang-tidy -p "$build" --quiet "$1" 2>/dev/null && touch "$cache/$key"
 }
