--- a/libraries/request_path/upstream_pool.cc
+++ b/libraries/request_path/upstream_pool.cc
@@ -72,7 +72,7 @@
 std::shared_ptr<UpstreamConnection> UpstreamPool::TakeIdle(const std::string& request_id) {
   const base::TimePoint now = base::SystemClock()();
   for (std::size_t i = idle_.size(); i > 0; --i) {
-    const std::shared_ptr<UpstreamConnection> connection = idle_[i - 1];
+    std::shared_ptr<UpstreamConnection> connection = idle_[i - 1];
     if (!connection->is_open() || connection->usable_until() <= now) {
       connection->Close();  // Also removes it from the idle ones.
     } else if (!connection->HasRefused(request_id)) {
