Soak: Let stand-in back ends name a rate and say that they leave

The stand-in names a rate for 12 s or leaves in its answers only, and counts requests beyond the rate and long after the leave.

--- a/tests/soak/fault_soak.cc
+++ b/tests/soak/fault_soak.cc
@@ -51,7 +51,8 @@
       : program_(std::move(program)),
         folder_(folder),
         network_(network),
-        random_(base::SeededRandom(seed)) {}
+        random_(base::SeededRandom(seed)),
+        need_random_(base::SeededRandom(~seed)) {}
 
   int Run(std::chrono::seconds length) {
     std::filesystem::create_directories(folder_);
@@ -71,6 +72,9 @@
       if (base::DrawBelow(random_, 25) == 0) {
         InjectFault();
       }
+      if (base::DrawBelow(need_random_, 80) == 0) {
+        InjectNeed();
+      }
       if (base::DrawBelow(random_, 40) == 0) {
         OrderDeclaration();
       }
@@ -295,6 +299,18 @@
     }
   }
 
+  // An upstream in need says so in its answers only.
+  void InjectNeed() {
+    Host& node = *hosts_[kControlHosts + base::DrawBelow(need_random_, kNodes)];
+    if (base::DrawBelow(need_random_, 3) > 0) {
+      node.upstream->NameRate(2 + static_cast<double>(base::DrawBelow(need_random_, 10)),
+                              milliseconds(12'000));
+    } else {
+      node.upstream->LeaveInAnswers();
+      After(milliseconds(8000), [&node] { node.upstream->Restart(); });
+    }
+  }
+
   void End(Host& host, int signal, base::TimePoint restart_at) {
     if (!host.process->IsRunning()) {
       return;
@@ -341,6 +357,9 @@
     for (const auto& host : hosts_) {
       if (!host->process->IsRunning() && Now() >= host->restart_at) {
         host->process->Start();
+        if (host->upstream) {
+          host->upstream->NoteNodeStart();
+        }
       }
     }
   }
@@ -372,6 +391,14 @@
     if (record_.late_after_leave > 0) {
       Report(fmt::format("{} requests reached a leaving back end late", record_.late_after_leave));
     }
+    if (record_.late_after_told > 0) {
+      Report(fmt::format("{} requests reached a back end long after it said that it leaves",
+                         record_.late_after_told));
+    }
+    if (record_.beyond_rate > 0) {
+      Report(fmt::format("{} requests were beyond the rate that a back end names",
+                         record_.beyond_rate));
+    }
     if (served_at_end < kLeastServed) {
       Report(fmt::format("only {} of 200 requests were served after all faults", served_at_end));
     }
@@ -407,6 +434,7 @@
   std::string folder_;
   int network_;
   base::Random random_;
+  base::Random need_random_;  // Of its own, so that a seed keeps the other faults that it had.
   asio::io_context context_{1};
   ExecutionRecord record_;
   std::vector<std::unique_ptr<Host>> hosts_;
--- a/tests/soak/stand_in_upstream.cc
+++ b/tests/soak/stand_in_upstream.cc
@@ -12,6 +12,11 @@
 
 constexpr std::chrono::milliseconds kHeartbeatInterval{300};
 constexpr std::chrono::milliseconds kDrainBound{2000};
+// A node that is stopped or whose link is faulty gets an answer this much later.
+constexpr std::chrono::milliseconds kLongestFault{4000};
+constexpr std::chrono::seconds kRateWindow{4};
+constexpr std::chrono::seconds kRateGrace{3};
+constexpr std::size_t kSlots = 8;
 
 }  // namespace
 
@@ -33,7 +38,10 @@
   ++born_;
   sequence_ = 0;
   is_draining_ = false;
+  leaves_in_answers_ = false;
   leave_acknowledged_ = {};
+  leave_told_ = {};
+  rate_ = {};
   id_ = fmt::format("i-{:08x}", random_() & 0xffffffffU);
   server_ = std::make_unique<http_stream::Server>(
       context_, http_stream::ServerLimits{},
@@ -53,16 +61,56 @@
   Announce();
 }
 
+void StandInUpstream::LeaveInAnswers() { leaves_in_answers_ = true; }
+
+void StandInUpstream::NameRate(double per_second, base::Duration time) {
+  const base::TimePoint now = base::SystemClock()();
+  rate_ = {per_second, now, now + time};
+}
+
+void StandInUpstream::NoteNodeStart() {
+  leave_told_ = {};
+  node_starts_.push_back(base::SystemClock()());
+}
+
+void StandInUpstream::CheckRate(base::TimePoint now) {
+  arrivals_.push_back(now);
+  for (auto* times : {&arrivals_, &node_starts_}) {
+    while (!times->empty() && now - times->front() > kRateWindow) {
+      times->pop_front();
+    }
+  }
+  if (now - rate_.since < kRateGrace + kRateWindow || now > rate_.until) {
+    return;
+  }
+  // A node that has just started may fill the slots before its first answer.
+  const double allowed = 1.5 * rate_.per_second * kRateWindow.count() + 5 +
+                         static_cast<double>(kSlots * node_starts_.size());
+  record_.beyond_rate += static_cast<double>(arrivals_.size()) > allowed ? 1 : 0;
+}
+
+void StandInUpstream::AddWhatItSays(http_stream::Fields& fields, base::TimePoint now) {
+  if (now < rate_.until) {
+    fields.push_back({"Server-Limit", fmt::format("{:.1f}", rate_.per_second)});
+  }
+  if (is_draining_ || leaves_in_answers_) {
+    fields.push_back({"Server-Leaving", "1"});
+    if (leave_told_ == base::TimePoint{}) {
+      leave_told_ = now;
+    }
+  }
+}
+
 void StandInUpstream::Announce() {
   http_stream::RequestMessage request;
   request.method = "POST";
   request.target = "/borageloft/rpc?call=instances.heartbeat&of=" + id_;
   request.fields = {{"Host", "node"}};
   request.body = fmt::format(
-      R"({{"addr":"{}","born":{},"info":{{"service":"{}","version":"v1","zone":"z","slots":8}},)"
+      R"({{"addr":"{}","born":{},"info":{{"service":"{}","version":"v1","zone":"z","slots":{}}},)"
       R"("status":{{"state":"{}","seq":{},"cold_left_ms":0}}}})",
-      settings::FormatEndpoint(address_), born_, service_, is_draining_ ? "draining" : "ready",
-      ++sequence_);
+      settings::FormatEndpoint(address_), born_, service_, kSlots,
+      is_draining_ ? "draining" : "ready", ++sequence_);
   SendOnce(context_, announce_to_, request, std::chrono::milliseconds(1000),
            [this, was_draining = is_draining_,
             life = id_](const std::optional<http_stream::ResponseMessage>& answer) {
@@ -91,13 +139,18 @@
     exchange.Respond(std::move(response));
     return;
   }
-  if (leave_acknowledged_ != base::TimePoint{} &&
-      base::SystemClock()() - leave_acknowledged_ > kDrainBound) {
+  const base::TimePoint now = base::SystemClock()();
+  if (leave_acknowledged_ != base::TimePoint{} && now - leave_acknowledged_ > kDrainBound) {
     ++record_.late_after_leave;
   }
+  if (leave_told_ != base::TimePoint{} && now - leave_told_ > kDrainBound + kLongestFault) {
+    ++record_.late_after_told;
+  }
+  CheckRate(now);
   ++record_.runs[*id];
   response.status = 200;
   response.fields = {{"X-Borageloft-Request-Id", *id}, {"X-Borageloft-Response-Seal", "seal"}};
+  AddWhatItSays(response.fields, now);
   response.body = "answer to " + *id;
   const auto timer = std::make_shared<asio::steady_timer>(
       context_, std::chrono::milliseconds(2 + base::DrawBelow(random_, 30)));
--- a/tests/soak/stand_in_upstream.h
+++ b/tests/soak/stand_in_upstream.h
@@ -2,6 +2,7 @@
 #define BORAGELOFT_TESTS_SOAK_STAND_IN_UPSTREAM_H_
 
 #include <asio.hpp>
+#include <deque>
 #include <map>
 #include <memory>
 #include <string>
@@ -15,6 +16,10 @@
   std::map<std::string, int> runs;
   /** Requests that reached an instance after its leave had been acknowledged for too long. */
   int late_after_leave = 0;
+  /** Requests that reached an instance long after its answers said that it leaves. */
+  int late_after_told = 0;
+  /** Requests beyond the rate that an instance had named. */
+  int beyond_rate = 0;
 };
 
 /** A stand-in back end: announces itself, runs each request for some milliseconds, and records it.
@@ -32,8 +37,23 @@
   void Crash();
   /** Says that it leaves, and goes on serving. */
   void Drain();
+  /** Says in its answers only that it leaves. */
+  void LeaveInAnswers();
+  /** Names a rate in its answers for some time. */
+  void NameRate(double per_second, base::Duration time);
+  /** The node beside it has started and knows nothing of before. */
+  void NoteNodeStart();
 
  private:
+  struct NamedRate {
+    double per_second = 0;
+    base::TimePoint since;
+    base::TimePoint until;
+  };
+
+  void CheckRate(base::TimePoint now);
+  void AddWhatItSays(http_stream::Fields& fields, base::TimePoint now);
+
   void Handle(const http_stream::RequestMessage& message, const http_stream::Exchange& exchange);
   void Announce();
 
@@ -49,7 +69,12 @@
   std::uint64_t born_ = 1;
   std::uint64_t sequence_ = 0;
   bool is_draining_ = false;
+  bool leaves_in_answers_ = false;
   base::TimePoint leave_acknowledged_{};
+  base::TimePoint leave_told_{};
+  NamedRate rate_;
+  std::deque<base::TimePoint> arrivals_;
+  std::deque<base::TimePoint> node_starts_;
 };
 
 }  // namespace borageloft::soak
