RequestPath: Name the result type of the search for a member

For readers: the null of the search was spelled by a decltype. Also the settings page names both uses of held_megabytes. No change of behaviour.

--- a/libraries/mesh/mesh_settings.h
+++ b/libraries/mesh/mesh_settings.h
@@ -40,7 +40,7 @@
   request_path::RetryBudgetOptions retries;
   base::Duration drain_time = std::chrono::seconds(6);
   std::size_t connections = 3000;
-  std::size_t held_megabytes = 48;
+  std::size_t held_megabytes = 48;  // For request bodies, and again for incomplete answers.
   std::string log_level = "info";
 };
 
--- a/libraries/request_path/instance_chooser.cc
+++ b/libraries/request_path/instance_chooser.cc
@@ -34,8 +34,8 @@
 constexpr std::chrono::milliseconds kAvoidTime{1000};
 // Time for which a reported admission level says which roots a rate-limited instance takes.
 constexpr std::chrono::milliseconds kLevelValidity{1000};
-// Time for which an instance that said that it leaves is still tried if there is no other. As long
-// as its gate takes requests; then the entry refuses them, since the gate may have restarted.
+// Time for which an instance that said that it leaves is still tried if there is no other: as long
+// as its gate takes requests. A gate that has restarted does not know, so the entry stops as well.
 constexpr std::chrono::milliseconds kLeaveGrace{700};
 // Random spread of the scores, so that nodes with the same information choose different instances.
 constexpr double kScoreSpread = 0.2;
@@ -48,9 +48,9 @@
 
 }  // namespace
 
-template <typename Services>
-auto InstanceChooser::FindMemberIn(Services& services, const std::string& service,
-                                   const std::string& node) {
+template <typename MemberType, typename Services>
+MemberType* InstanceChooser::FindMemberIn(Services& services, const std::string& service,
+                                          const std::string& node) {
   const auto members = services.find(service);
   if (members != services.end()) {
     for (auto& member : members->second) {
@@ -59,7 +59,7 @@
       }
     }
   }
-  return decltype(&members->second.front()){nullptr};
+  return nullptr;
 }
 
 void InstanceChooser::RememberAbsent(
@@ -94,12 +94,12 @@
 
 InstanceChooser::Member* InstanceChooser::FindMember(const std::string& service,
                                                      const std::string& node) {
-  return FindMemberIn(services_, service, node);
+  return FindMemberIn<Member>(services_, service, node);
 }
 
 const InstanceChooser::Member* InstanceChooser::FindMember(const std::string& service,
                                                            const std::string& node) const {
-  return FindMemberIn(services_, service, node);
+  return FindMemberIn<const Member>(services_, service, node);
 }
 
 void InstanceChooser::Update(const std::map<std::string, directory::InstanceRecord>& records) {
--- a/libraries/request_path/instance_chooser.h
+++ b/libraries/request_path/instance_chooser.h
@@ -136,8 +136,9 @@
 
   Member* FindMember(const std::string& service, const std::string& node);
   const Member* FindMember(const std::string& service, const std::string& node) const;
-  template <typename Services>
-  static auto FindMemberIn(Services& services, const std::string& service, const std::string& node);
+  template <typename MemberType, typename Services>
+  static MemberType* FindMemberIn(Services& services, const std::string& service,
+                                  const std::string& node);
   double UtilizationOf(const Member& member, base::TimePoint now) const;
   static bool IsBeyondRateLimit(const Member& member, const RootPosition& root,
                                 base::TimePoint now);
