Transport: Count the bytes sent to other nodes by kind

An operator could not tell what the bytes between zones are for. Requests of callers, calls of upstreams, responses, cancellations, keep-alives and each control channel are now counted after compression, apart for links within the zone and between zones, and served at the metrics address.

--- a/libraries/mesh/control_node.cc
+++ b/libraries/mesh/control_node.cc
@@ -66,7 +66,7 @@
     HandleControl(from, channel, payload);
   };
   transport::TransportOptions peer_options = PeerOptions(settings);
-  peer_options.compresses = [](const std::string&) { return true; };
+  peer_options.crosses_zones = [](const std::string&) { return true; };
   peers_ = std::make_unique<transport::PeerTransport>(loop_.context(), std::move(peer_options),
                                                       std::move(hooks));
   control_member::MemberOptions options;
@@ -284,6 +284,7 @@
 void ControlNode::RespondMetrics(const http_stream::Exchange& exchange) {
   const control_member::MemberStatus status = member_->status();
   MetricsText text;
+  text.AddTraffic(peers_->counters().traffic);
   text.Add("borageloft_control_term", "Term of the replica",
            static_cast<std::uint64_t>(status.replica_host.soft_state.term));
   text.Add("borageloft_control_is_leader", "Whether this host leads",
--- a/libraries/mesh/mesh_node.cc
+++ b/libraries/mesh/mesh_node.cc
@@ -160,7 +160,7 @@
   sync_ = std::make_unique<DirectorySync>(SeedNodes(settings), std::move(sync_hooks));
   transport::TransportOptions peer_options = PeerOptions(settings);
   // Traffic within a zone is cheap; traffic between zones is worth the CPU time to compress it.
-  peer_options.compresses = [this](const std::string& node) {
+  peer_options.crosses_zones = [this](const std::string& node) {
     const auto& records = sync_->view().records();
     const auto record = records.find(node);
     return record == records.end() || record->second.zone != loop_.settings().zone;
@@ -452,6 +452,7 @@
 
 void MeshNode::RespondMetrics(const http_stream::Exchange& exchange) {
   MetricsText text;
+  text.AddTraffic(peers_->counters().traffic);
   const request_path::EntryCounters& entry = entry_->counters();
   text.Add("borageloft_requests_total", "Requests received", entry.requests);
   text.Add("borageloft_answers_total", "Answers of upstreams passed on", entry.answered);
--- a/libraries/mesh/metrics_text.cc
+++ b/libraries/mesh/metrics_text.cc
@@ -46,6 +46,21 @@
   families_.push_back(std::move(family));
 }
 
+void MetricsText::AddTraffic(const transport::TrafficCounters& traffic) {
+  const auto by_name = [](const transport::BytesByKind& bytes) {
+    std::map<std::string, std::uint64_t> named;
+    for (std::size_t kind = 0; kind < bytes.size(); ++kind) {
+      named.emplace(transport::NameOf(static_cast<transport::TrafficKind>(kind)), bytes.at(kind));
+    }
+    return named;
+  };
+  Add("borageloft_peer_bytes_within_zone_total", "Bytes sent to nodes in this zone", "kind",
+      by_name(traffic.within_zone));
+  Add("borageloft_peer_bytes_across_zones_total",
+      "Bytes sent to nodes in other zones, or in zones not known yet", "kind",
+      by_name(traffic.across_zones));
+}
+
 std::string MetricsText::Serialize() const {
   return prometheus::TextSerializer().Serialize(families_);
 }
--- a/libraries/mesh/metrics_text.h
+++ b/libraries/mesh/metrics_text.h
@@ -8,6 +8,8 @@
 #include <string>
 #include <vector>
 
+#include "libraries/transport/transport.h"
+
 namespace borageloft::mesh {
 
 /** Collects counters and gauges and serializes them in the Prometheus text format. */
@@ -20,6 +22,9 @@
   void Add(const std::string& name, const std::string& help, const std::string& label,
            const std::map<std::string, std::uint64_t>& values);
 
+  /** Adds the bytes sent to other nodes, by the kind of traffic. */
+  void AddTraffic(const transport::TrafficCounters& traffic);
+
   std::string Serialize() const;
 
  private:
--- a/libraries/transport/connection.cc
+++ b/libraries/transport/connection.cc
@@ -1,6 +1,7 @@
 #include "libraries/transport/connection.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace borageloft::transport {
@@ -267,7 +268,8 @@
   }
   connect_timer_.cancel();
   is_ready_ = true;
-  if (options_.compresses && options_.compresses(peer_)) {
+  crosses_zones_ = options_.crosses_zones && options_.crosses_zones(peer_);
+  if (crosses_zones_) {
     compressor_.emplace();
   }
   if (direction_ == Direction::kInbound) {
@@ -365,15 +367,17 @@
     return false;
   }
   queued_bytes_ += bytes.size();
-  queue_.push_back({std::move(bytes), stream});
+  queue_.push_back({std::move(bytes), KindOf(frame), stream});
   WriteNext();
   return true;
 }
 
 void Connection::SendHello() {
   const wire::Hello hello{wire::kProtocolVersion, options_.node, options_.incarnation, generation_};
-  writing_.push_back({wire::EncodeFrame(hello, options_.frame_bytes), 0});
+  writing_.push_back(
+      {wire::EncodeFrame(hello, options_.frame_bytes), TrafficKind::kHandshake, 0});
   queued_bytes_ += writing_.back().bytes.size();
+  CountBatch(1);
   WriteBatch();
 }
 
@@ -391,6 +395,8 @@
   }
   if (compressor_) {
     PackBatch();
+  } else {
+    CountBatch(1);
   }
   WriteBatch();
 }
@@ -405,13 +411,26 @@
   }
   // A batch that might not fit one frame travels as it is.
   if (StreamCompressor::Bound(plain_bytes) > options_.frame_bytes) {
+    CountBatch(1);
     return;
   }
   std::string packed =
       wire::EncodeFrame(wire::Packed{compressor_->Add(bytes)}, options_.frame_bytes);
+  CountBatch(static_cast<double>(packed.size()) / static_cast<double>(plain_bytes));
   queued_bytes_ = queued_bytes_ - plain_bytes + packed.size();
   writing_.clear();
-  writing_.push_back({std::move(packed), 0});
+  writing_.push_back({std::move(packed)});
+}
+
+// Compression works on the whole batch; each frame counts with its share of the compressed size.
+void Connection::CountBatch(double packed_share) const {
+  if (!events_.count_sent) {
+    return;
+  }
+  for (const QueuedFrame& frame : writing_) {
+    const double sent = std::ceil(packed_share * static_cast<double>(frame.bytes.size()));
+    events_.count_sent(frame.kind, crosses_zones_, static_cast<std::size_t>(sent));
+  }
 }
 
 void Connection::WriteBatch() {
--- a/libraries/transport/connection.h
+++ b/libraries/transport/connection.h
@@ -34,6 +34,7 @@
   std::function<void(const std::shared_ptr<Connection>& connection, const char* reason)>
       handle_closed;
   std::function<void()> handle_late_response;
+  std::function<void(TrafficKind kind, bool crosses_zones, std::size_t bytes)> count_sent;
 };
 
 /**
@@ -100,6 +101,7 @@
 
   struct QueuedFrame {
     std::string bytes;
+    TrafficKind kind = TrafficKind::kHandshake;
     std::uint64_t stream = 0;  // Set for request frames only.
   };
 
@@ -120,6 +122,7 @@
   void SendHello();
   void WriteNext();
   void PackBatch();
+  void CountBatch(double packed_share) const;
   void WriteBatch();
   void HandleWritten(const asio::error_code& error);
   void Fail(const char* reason);
@@ -139,6 +142,7 @@
   bool is_ready_ = false;
   bool is_closed_ = false;
   bool is_writing_ = false;
+  bool crosses_zones_ = false;
   std::atomic<std::uint64_t> next_stream_;
   base::TimePoint last_received_;
   base::TimePoint last_ping_;
--- a/libraries/transport/peer_transport.cc
+++ b/libraries/transport/peer_transport.cc
@@ -40,6 +40,7 @@
   std::map<std::string, std::shared_ptr<Connection>> by_node;
   std::map<std::string, std::uint64_t> incarnations;
   TransportCounters counters;
+  TrafficTable traffic;
 };
 
 void PeerTransport::State::Accept() {
@@ -119,6 +120,9 @@
   events.handle_closed = [self](const std::shared_ptr<Connection>& connection, const char* reason) {
     self->HandleClosed(connection, reason);
   };
+  events.count_sent = [self](TrafficKind kind, bool crosses_zones, std::size_t bytes) {
+    self->traffic.Add(kind, crosses_zones, bytes);
+  };
   events.handle_late_response = [self] {
     const std::scoped_lock lock(self->mutex);
     ++self->counters.late_responses;
@@ -278,7 +282,9 @@
 
 TransportCounters PeerTransport::counters() const {
   const std::scoped_lock lock(state_->mutex);
-  return state_->counters;
+  TransportCounters counters = state_->counters;
+  counters.traffic = state_->traffic.counters();
+  return counters;
 }
 
 std::size_t PeerTransport::connection_count() const {
--- a/libraries/transport/transport.h
+++ b/libraries/transport/transport.h
@@ -5,6 +5,7 @@
 
 #include "libraries/transport/peer_transport.h"
 #include "libraries/transport/timer_driver.h"
+#include "libraries/transport/traffic_table.h"
 #include "libraries/transport/transport_types.h"
 
 #endif  // BORAGELOFT_TRANSPORT_TRANSPORT_H_
--- a/libraries/transport/transport_types.h
+++ b/libraries/transport/transport_types.h
@@ -7,6 +7,7 @@
 #include <variant>
 
 #include "libraries/settings/settings.h"
+#include "libraries/transport/traffic_table.h"
 #include "libraries/wire/wire.h"
 
 namespace borageloft::transport {
@@ -59,8 +60,9 @@
   base::Duration ping_interval = std::chrono::milliseconds(500);
   base::Duration silence_timeout = std::chrono::seconds(2);
   base::Duration connect_timeout = std::chrono::seconds(1);
-  /** Tells whether frames to a node travel compressed, because its link is dear. May be empty. */
-  std::function<bool(const std::string& node)> compresses;
+  /** Tells whether the link to a node crosses zones. Frames on such links travel compressed. If
+   * empty, no link does. */
+  std::function<bool(const std::string& node)> crosses_zones;
 };
 
 /** What the transport reports. All hooks run on transport threads with no lock held. */
@@ -85,6 +87,7 @@
   std::uint64_t control_bytes_sent = 0;
   std::uint64_t control_messages_sent = 0;
   std::uint64_t control_dropped = 0;
+  TrafficCounters traffic;
 };
 
 }  // namespace borageloft::transport
--- a/tests/transport/peer_transport_test.cc
+++ b/tests/transport/peer_transport_test.cc
@@ -43,7 +43,7 @@
     options.silence_timeout = silence;
     options.connect_timeout = seconds(5);
     // Some pairs compress in one direction only, which both ends must bear.
-    options.compresses = [](const std::string& node) { return node != "plain"; };
+    options.crosses_zones = [](const std::string& node) { return node != "plain"; };
     transport_ = std::make_unique<PeerTransport>(context_, options, std::move(hooks));
     address_ = {name, transport_->Listen({"127.0.0.1", 0})};
     for (int i = 0; i < 2; ++i) {
@@ -110,6 +110,30 @@
   EXPECT_EQ(client.transport().connection_count(), 1U);
 }
 
+// Guards against an operator who cannot tell what the bytes on the links between zones are for.
+TEST(PeerTransportTest, CountsTheBytesSentByKind) {
+  TestNode near("plain");
+  TestNode far("far");
+  TestNode client("client");
+  const std::string body(20'000, 'x');
+  Call(client, near.address(), body);
+  Call(client, far.address(), body);
+  client.transport().SendControl(far.address(), wire::Channel::kMembership, "record");
+  const auto bytes = [&](const BytesByKind& counted, TrafficKind kind) {
+    return counted.at(static_cast<std::size_t>(kind));
+  };
+  // The control message precedes this request on the connection.
+  Call(client, far.address(), "end");
+  const TrafficCounters traffic = client.transport().counters().traffic;
+  EXPECT_GE(bytes(traffic.within_zone, TrafficKind::kRequest), body.size());
+  EXPECT_GT(bytes(traffic.across_zones, TrafficKind::kRequest), 0U);
+  EXPECT_LT(bytes(traffic.across_zones, TrafficKind::kRequest), body.size() / 2)
+      << "the compressed size counts";
+  EXPECT_GT(bytes(traffic.across_zones, TrafficKind::kMembership), 0U);
+  EXPECT_EQ(bytes(traffic.within_zone, TrafficKind::kMembership), 0U);
+  EXPECT_EQ(bytes(traffic.across_zones, TrafficKind::kCall), 0U);
+}
+
 // Guards against two connections for a pair of nodes that call each other.
 TEST(PeerTransportTest, BothSidesShareOneConnection) {
   TestNode first("first");
