Mesh: Fetch records from one control host of the zone

Cause: each node polled every control host in turn, each of which kept a registry with revisions of its own, so that each change of each record reached each node five times, four of them over a border between zones.

A node now fetches records and declarations from one control host, of its zone if there is one, renews its record at a second one, and asks the others only while the first does not answer or has no contact to the leader. Control hosts exchange the records that are renewed at them; those learned from others are not passed on, so none outlives its node. A registry finds the changes since a revision without a scan, the view merges and the chooser takes over only the records that changed.

Control hosts are to be upgraded before nodes.

--- a/libraries/directory/directory_view.cc
+++ b/libraries/directory/directory_view.cc
@@ -4,67 +4,112 @@
 
 namespace borageloft::directory {
 
-DirectoryView::Position DirectoryView::PositionAt(const std::string& control_host) const {
-  const auto source = sources_.find(control_host);
-  return source == sources_.end() ? Position{} : source->second.position;
+DirectoryView::Position DirectoryView::PositionAt(const std::string& source) const {
+  const auto found = sources_.find(source);
+  return found == sources_.end() ? Position{} : found->second.position;
 }
 
-bool DirectoryView::Apply(const std::string& control_host, const SyncAnswer& answer) {
-  Source& source = sources_[control_host];
+NodeSet DirectoryView::Apply(const std::string& source, const SyncAnswer& answer) {
+  Source& known = sources_[source];
   const bool is_full = answer.base_revision == 0;
-  if (!is_full && (source.position.epoch != answer.registry_epoch ||
-                   source.position.revision < answer.base_revision ||
-                   source.position.revision > answer.registry_revision)) {
-    return false;  // Response out of order; the next request starts from the known position.
+  if (!is_full && (known.position.epoch != answer.registry_epoch ||
+                   known.position.revision < answer.base_revision ||
+                   known.position.revision > answer.registry_revision)) {
+    return {};  // Response out of order; the next request starts from the known position.
   }
+  NodeSet named;
   if (is_full && answer.is_complete) {
-    source.records.clear();
-    source.arrival_order.clear();
+    for (const auto& [node, listed] : known.records) {
+      named.insert(node);
+    }
+    known.records.clear();
   }
   for (const InstanceRecord& record : answer.records) {
-    source.records[record.node] = record;
-    source.arrival_order[record.node] = ++last_arrival_order_;
+    known.records[record.node] = {record, ++last_arrival_order_};
+    named.insert(record.node);
   }
   for (const std::string& node : answer.removed) {
-    source.records.erase(node);
-    source.arrival_order.erase(node);
+    known.records.erase(node);
+    named.insert(node);
+  }
+  known.position = {answer.registry_epoch, answer.registry_revision};
+  std::erase_if(named, [this](const std::string& node) { return !Merge(node); });
+  return named;
+}
+
+bool DirectoryView::Put(const std::string& source, const InstanceRecord& record) {
+  sources_[source].records[record.node] = {record, ++last_arrival_order_};
+  return Merge(record.node);
+}
+
+bool DirectoryView::Erase(const std::string& source, const std::string& node) {
+  const auto found = sources_.find(source);
+  return found != sources_.end() && found->second.records.erase(node) > 0 && Merge(node);
+}
+
+NodeSet DirectoryView::Forget(const std::string& source) {
+  const auto found = sources_.find(source);
+  if (found == sources_.end()) {
+    return {};
   }
-  source.position = {answer.registry_epoch, answer.registry_revision};
-  return is_full || !answer.records.empty() || !answer.removed.empty() ? Merge() : false;
+  const Source forgotten = std::move(found->second);
+  sources_.erase(found);
+  NodeSet changed;
+  for (const auto& [node, listed] : forgotten.records) {
+    if (Merge(node)) {
+      changed.insert(node);
+    }
+  }
+  return changed;
 }
 
-bool DirectoryView::Forget(const std::string& control_host) {
-  return sources_.erase(control_host) != 0 && Merge();
+NodeSet DirectoryView::ForgetOthers(const std::string& source) {
+  NodeSet others;
+  for (const auto& [name, known] : sources_) {
+    if (name != source) {
+      others.insert(name);
+    }
+  }
+  NodeSet changed;
+  for (const std::string& other : others) {
+    changed.merge(Forget(other));
+  }
+  return changed;
 }
 
-bool DirectoryView::Merge() {
-  struct Candidate {
-    const InstanceRecord* record = nullptr;
-    std::uint64_t arrival_order = 0;
-  };
-  std::map<std::string, Candidate> newest;
-  for (const auto& [host, source] : sources_) {
-    for (const auto& [node, record] : source.records) {
-      Candidate& candidate = newest[node];
-      const std::uint64_t arrival_order = source.arrival_order.at(node);
-      const bool is_newer =
-          candidate.record == nullptr ||
-          (candidate.record->epoch == record.epoch ? record.revision > candidate.record->revision
-                                                   : arrival_order > candidate.arrival_order);
-      if (is_newer) {
-        candidate = {&record, arrival_order};
-      }
+bool DirectoryView::Merge(const std::string& node) {
+  const ListedRecord* newest = nullptr;
+  for (const auto& [name, source] : sources_) {
+    const auto listed = source.records.find(node);
+    if (listed == source.records.end()) {
+      continue;
+    }
+    const ListedRecord& candidate = listed->second;
+    const bool is_newer =
+        newest == nullptr || (newest->record.epoch == candidate.record.epoch
+                                  ? candidate.record.revision > newest->record.revision
+                                  : candidate.arrival_order > newest->arrival_order);
+    if (is_newer) {
+      newest = &candidate;
     }
   }
-  std::map<std::string, InstanceRecord> merged;
-  for (const auto& [node, candidate] : newest) {
-    if (!candidate.record->instance.empty()) {
-      merged.emplace(node, *candidate.record);
+  const auto merged = merged_.find(node);
+  if (newest == nullptr || newest->record.instance.empty()) {
+    if (merged == merged_.end()) {
+      return false;
     }
+    merged_.erase(merged);
+    return true;
+  }
+  if (merged == merged_.end()) {
+    merged_.emplace(node, newest->record);
+    return true;
+  }
+  if (merged->second == newest->record) {
+    return false;
   }
-  const bool has_changed = merged != merged_;
-  merged_ = std::move(merged);
-  return has_changed;
+  merged->second = newest->record;
+  return true;
 }
 
 }  // namespace borageloft::directory
--- a/libraries/directory/directory_view.h
+++ b/libraries/directory/directory_view.h
@@ -3,50 +3,64 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
-#include <vector>
 
 #include "libraries/directory/messages.h"
 
 namespace borageloft::directory {
 
+/** Names of nodes. */
+using NodeSet = std::set<std::string>;
+
 /**
- * All instances known to a node, merged from the registries of several control hosts. A record is
- * kept while any control host lists it; otherwise a control host that is cut off from a node would
- * remove it for all others. Records are hints: the node on the host of an instance decides
- * whether it takes a request. Not thread-safe.
+ * Instances merged from several sources, such as the registries of control hosts. A record is kept
+ * while any source lists it; otherwise a control host that is cut off from a node would remove it
+ * for all others. Records are hints: the node on the host of an instance decides whether it takes a
+ * request. Each change costs time for the records that it names only. Not thread-safe.
  */
 class DirectoryView {
  public:
-  /** Position in the changes of a registry, from which a node requests further changes. */
+  /** Position in the changes of a source, from which further changes are requested. */
   struct Position {
     std::uint64_t epoch = 0;
     std::uint64_t revision = 0;
   };
 
-  /** @return Last known position in the registry of @p control_host. */
-  Position PositionAt(const std::string& control_host) const;
+  /** @return Last known position in the changes of @p source. */
+  Position PositionAt(const std::string& source) const;
+
+  /** Applies a sync answer of @p source. @return Nodes whose entry in records() changed. */
+  NodeSet Apply(const std::string& source, const SyncAnswer& answer);
+
+  /** Adds or replaces one record of @p source. @return Whether its entry in records() changed. */
+  bool Put(const std::string& source, const InstanceRecord& record);
 
-  /** Applies a sync response of @p control_host. @return Whether any record changed. */
-  bool Apply(const std::string& control_host, const SyncAnswer& answer);
+  /** Removes one record of @p source. @return Whether its entry in records() changed. */
+  bool Erase(const std::string& source, const std::string& node);
 
-  /**
-   * Removes the records of @p control_host, which has not responded for too long.
-   * @return Whether any record changed.
-   */
-  bool Forget(const std::string& control_host);
+  /** Removes all records of @p source. @return Nodes whose entry in records() changed. */
+  NodeSet Forget(const std::string& source);
+
+  /** Removes the records of all sources but @p source. @return As Forget(). */
+  NodeSet ForgetOthers(const std::string& source);
 
   /** @return Records that have an instance, by node. */
   const std::map<std::string, InstanceRecord>& records() const { return merged_; }
 
  private:
+  struct ListedRecord {
+    InstanceRecord record;
+    std::uint64_t arrival_order = 0;  // Order in which the records arrived.
+  };
+
   struct Source {
     Position position;
-    std::map<std::string, InstanceRecord> records;
-    std::map<std::string, std::uint64_t> arrival_order;  // Order in which the records arrived.
+    std::map<std::string, ListedRecord> records;
   };
 
-  bool Merge();
+  // Determines the entry of a node in records() anew. Returns whether it changed.
+  bool Merge(const std::string& node);
 
   std::map<std::string, Source> sources_;
   std::map<std::string, InstanceRecord> merged_;
--- a/libraries/directory/messages.cc
+++ b/libraries/directory/messages.cc
@@ -56,6 +56,8 @@
     Take().convert(value);
   }
 
+  bool IsAtEnd() const { return next_ == array_.size; }
+
  private:
   msgpack::object_array array_{};
   std::uint32_t next_ = 0;
@@ -91,15 +93,16 @@
 }
 
 void PackBody(Packer& packer, const SyncRequest& request) {
-  packer.pack_array(4);
+  packer.pack_array(5);
   Pack(packer, request.record);
   packer.pack(request.known_version);
   packer.pack(request.registry_epoch);
   packer.pack(request.registry_revision);
+  packer.pack(static_cast<std::uint8_t>(request.kind));
 }
 
 void PackBody(Packer& packer, const SyncAnswer& answer) {
-  packer.pack_array(10);
+  packer.pack_array(11);
   packer.pack(answer.is_current);
   packer.pack(answer.version);
   packer.pack(answer.declaration);
@@ -113,6 +116,7 @@
     Pack(packer, record);
   }
   packer.pack(answer.removed);
+  packer.pack(answer.zone);
 }
 
 SyncRequest UnpackRequest(const msgpack::object& object) {
@@ -122,6 +126,14 @@
   reader.Take(request.known_version);
   reader.Take(request.registry_epoch);
   reader.Take(request.registry_revision);
+  if (!reader.IsAtEnd()) {  // Nodes of the earlier release state no kind.
+    std::uint8_t kind = 0;
+    reader.Take(kind);
+    if (kind > static_cast<std::uint8_t>(SyncKind::kExchange)) {
+      throw DirectoryError(fmt::format("unknown kind of sync request {}", kind));
+    }
+    request.kind = static_cast<SyncKind>(kind);
+  }
   return request;
 }
 
@@ -144,6 +156,9 @@
     answer.records.push_back(UnpackRecord(records.via.array.ptr[i]));
   }
   reader.Take(answer.removed);
+  if (!reader.IsAtEnd()) {  // Control hosts of the earlier release state no zone.
+    reader.Take(answer.zone);
+  }
   return answer;
 }
 
--- a/libraries/directory/messages.h
+++ b/libraries/directory/messages.h
@@ -64,15 +64,23 @@
   friend bool operator==(const InstanceRecord&, const InstanceRecord&) = default;
 };
 
-/** Request of a node to a control host. It also renews the node's own record in the registry. */
+/** What a request to a control host asks for. */
+enum class SyncKind : std::uint8_t {
+  kRecords = 0,   ///< Renews the sender's record; asks for the records of all nodes.
+  kRenewal = 1,   ///< Renews the sender's record only.
+  kExchange = 2,  ///< Of a control host; asks for the records that nodes renew at the receiver.
+};
+
+/** Request to a control host. It also asks for a newer declaration. */
 struct SyncRequest {
-  InstanceRecord record;
+  InstanceRecord record;             ///< Of the sender; unset for an exchange.
   std::uint64_t known_version = 0;   ///< Version of the declaration that the node holds.
   std::uint64_t registry_epoch = 0;  ///< Epoch of the registry that `registry_revision` belongs to.
   std::uint64_t registry_revision = 0;
+  SyncKind kind = SyncKind::kRecords;
 };
 
-/** Response of a control host, also sent unsolicited when a new declaration is in force. */
+/** Answer of a control host, also sent to other control hosts when the records change. */
 struct SyncAnswer {
   bool is_current = false;  ///< Whether the control host is in contact with the leader.
   std::uint64_t version = 0;
@@ -80,11 +88,12 @@
   std::vector<std::string> control_hosts;
   /** Whether every node has had time to renew its record since the control host started. */
   bool is_complete = false;
-  std::uint64_t registry_epoch = 0;
-  std::uint64_t base_revision = 0;  ///< Base of the changes; 0 if the whole registry follows.
+  std::uint64_t registry_epoch = 0;  ///< 0 if the answer says nothing about records.
+  std::uint64_t base_revision = 0;   ///< Base of the changes; 0 if the whole registry follows.
   std::uint64_t registry_revision = 0;
   std::vector<InstanceRecord> records;
   std::vector<std::string> removed;  ///< Nodes whose records were removed.
+  std::string zone;                  ///< Of the control host.
 };
 
 /** Any directory message. */
--- a/libraries/directory/registry.h
+++ b/libraries/directory/registry.h
@@ -2,18 +2,17 @@
 #define BORAGELOFT_DIRECTORY_REGISTRY_H_
 
 #include <cstdint>
-#include <map>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
-#include "libraries/directory/messages.h"
+#include "libraries/directory/versioned_records.h"
 
 namespace borageloft::directory {
 
 /**
- * Registry of all nodes' records on a control host. It is soft state: nothing is stored, and a
- * record that is not renewed expires. Each change has a revision, so that a node requests only the
- * changes since its last request. Not thread-safe.
+ * Registry of the records that nodes renew at a control host. It is soft state: nothing is stored,
+ * and a record that is not renewed expires. Not thread-safe.
  */
 class Registry {
  public:
@@ -27,37 +26,30 @@
   /** Renews or replaces the record of a node. @return Whether the record changed. */
   bool Renew(const InstanceRecord& record, base::TimePoint now);
 
-  /** Removes records that were not renewed, and marks the registry as complete when it is due. */
-  void Expire(base::TimePoint now);
+  /**
+   * Removes records that were not renewed, and marks the registry as complete when it is due.
+   * @return Nodes whose records were removed.
+   */
+  std::vector<std::string> Expire(base::TimePoint now);
 
   /**
-   * Writes the changes since the revision of @p request into @p answer, or the whole registry if
+   * Writes the changes since the position of @p request into @p answer, or the whole registry if
    * the request is for another epoch or its revision is too old.
    */
   void FillAnswer(const SyncRequest& request, SyncAnswer& answer) const;
 
-  /** @return Nodes whose records have not expired. */
-  std::vector<std::string> nodes() const;
-  std::size_t size() const { return entries_.size(); }
+  /** @return Whether every node has had time to renew its record since the start. */
+  bool is_complete() const { return is_complete_; }
+  std::uint64_t epoch() const { return records_.epoch(); }
+  std::uint64_t revision() const { return records_.revision(); }
+  std::size_t size() const { return records_.size(); }
 
  private:
-  struct Entry {
-    InstanceRecord record;
-    base::TimePoint renewed_at;
-    std::uint64_t changed_at_revision = 0;
-  };
-
-  // Number of removals kept. A node that is further behind receives the whole registry.
-  static constexpr std::size_t kMaxRemovals = 1024;
-
-  std::uint64_t epoch_;
   base::Duration lifetime_;
   base::TimePoint complete_at_;
   bool is_complete_ = false;
-  std::uint64_t revision_ = 1;
-  std::map<std::string, Entry> entries_;
-  std::map<std::uint64_t, std::string> removals_;  // By the revision of the removal.
-  std::uint64_t oldest_kept_revision_ = 1;         // Removals up to this revision may be discarded.
+  VersionedRecords records_;
+  std::unordered_map<std::string, base::TimePoint> renewed_at_;
 };
 
 }  // namespace borageloft::directory
--- a/libraries/mesh/control_node.cc
+++ b/libraries/mesh/control_node.cc
@@ -17,10 +17,13 @@
 constexpr unsigned kPreconditionFailed = 412;
 constexpr unsigned kServiceUnavailable = 503;
 
-// Each node renews its record at every control host within 1.5 s; the lifetime of three such
+// Each node renews its record at two control hosts within 1.5 s; the lifetime of three such
 // periods tolerates lost renewals.
 constexpr std::chrono::milliseconds kRecordLifetime{4500};
 constexpr std::chrono::milliseconds kCheckInterval{100};
+// Time between two requests for the records of another control host. They only repair losses:
+// changes are sent at once.
+constexpr std::chrono::milliseconds kExchangeInterval{1000};
 constexpr std::chrono::milliseconds kMaximumStopTime{1500};
 // Bounds the size of a log line; more changes than this come from a review of the whole text.
 constexpr std::size_t kMaximumLoggedChanges = 12;
@@ -50,7 +53,7 @@
       node_(NodeNameOf(loop.settings())),
       file_system_(storage::PosixFileSystem()),
       data_folder_(file_system_, loop.settings().data_folder),
-      registry_(RandomEpoch(), kRecordLifetime, clock_()) {
+      directory_(RandomEpoch(), kRecordLifetime, clock_()) {
   const MeshSettings& settings = loop_.settings();
   transport::TransportHooks hooks;
   hooks.handle_request = [](const std::string&, transport::InboundRequestId, const wire::Request&,
@@ -101,9 +104,18 @@
   member_->Start();
   loop_.timers().SubscribeEvery(kCheckInterval, [this](base::TimePoint now) {
     peers_->CheckHeartbeats();
-    registry_.Expire(now);
+    directory_.Expire(now);
+    if (directory_.has_changes()) {
+      SendToControlHosts(directory_.TakeChanges());
+    }
     CheckStopped();
   });
+  loop_.timers().SubscribeEvery(kExchangeInterval, [this](base::TimePoint) {
+    for (const std::string& host : OtherControlHosts()) {
+      peers_->SendControl(PeerAddressOf(host), wire::Channel::kMembership,
+                          directory::Encode(directory_.ExchangeRequest(host)));
+    }
+  });
   base::Log(base::LogLevel::kInfo, "control_started",
             {{"node", node_}, {"name", settings.name}, {"zone", settings.zone}});
 }
@@ -120,6 +132,10 @@
     const directory::Message message = directory::Decode(payload);
     if (const auto* request = std::get_if<directory::SyncRequest>(&message)) {
       HandleSync(from, *request);
+    } else if (OtherControlHosts().contains(from)) {
+      directory_.Receive(from, std::get<directory::SyncAnswer>(message), clock_());
+    } else {
+      throw directory::DirectoryError("records from a node that is no control host");
     }
   } catch (const directory::DirectoryError& error) {
     base::Log(base::LogLevel::kWarning, "directory_message_refused",
@@ -128,10 +144,17 @@
 }
 
 void ControlNode::HandleSync(const std::string& from, const directory::SyncRequest& request) {
-  if (request.record.node == from) {
-    registry_.Renew(request.record, clock_());
+  const bool is_exchange = request.kind == directory::SyncKind::kExchange;
+  if (!is_exchange && request.record.node == from) {
+    directory_.Renew(request.record, clock_());
   }
   directory::SyncAnswer answer;
+  directory_.FillAnswer(request, answer);
+  if (is_exchange) {
+    peers_->SendControl(PeerAddressOf(from), wire::Channel::kMembership, directory::Encode(answer));
+    return;
+  }
+  answer.zone = loop_.settings().zone;
   answer.is_current = member_->IsCurrent();
   const declaration::DeclarationRegister& applied = member_->applied();
   answer.version = applied.version();
@@ -139,10 +162,23 @@
     answer.declaration = applied.text();
   }
   answer.control_hosts = member_->ControlHosts();
-  registry_.FillAnswer(request, answer);
   peers_->SendControl(PeerAddressOf(from), wire::Channel::kMembership, directory::Encode(answer));
 }
 
+std::set<std::string> ControlNode::OtherControlHosts() const {
+  const std::vector<std::string> hosts = member_->ControlHosts();
+  std::set<std::string> others(hosts.begin(), hosts.end());
+  others.erase(node_);
+  return others;
+}
+
+void ControlNode::SendToControlHosts(const directory::SyncAnswer& changes) {
+  const std::string bytes = directory::Encode(changes);
+  for (const std::string& host : OtherControlHosts()) {
+    peers_->SendControl(PeerAddressOf(host), wire::Channel::kMembership, bytes);
+  }
+}
+
 void ControlNode::HandleCall(const http_stream::RequestMessage& message,
                              const http_stream::Exchange& exchange) {
   const NodeCall call = dialect_.decode_call(message);
@@ -296,7 +332,7 @@
   text.Add("borageloft_control_storage_failures_total", "Failures of the storage",
            status.replica_host.storage_failures);
   text.Add("borageloft_declaration_version", "Declaration applied", member_->applied().version());
-  text.Add("borageloft_nodes_known", "Nodes in the registry", registry_.size());
+  text.Add("borageloft_instances_known", "Instances in the directory", directory_.size());
   http_stream::ResponseMessage response;
   response.status = kOk;
   response.body = text.Serialize();
--- a/libraries/mesh/control_node.h
+++ b/libraries/mesh/control_node.h
@@ -2,6 +2,7 @@
 #define BORAGELOFT_MESH_CONTROL_NODE_H_
 
 #include <memory>
+#include <set>
 #include <string>
 
 #include "libraries/control_member/control_member.h"
@@ -12,7 +13,7 @@
 
 /**
  * The process on a control host: a member of the replicated group that stores the declaration, and
- * the registry of the nodes. Connects the libraries and contains no policy of its own. Runs on the
+ * the directory of the nodes. Connects the libraries and contains no policy of its own. Runs on the
  * thread of its event loop; not thread-safe.
  */
 class ControlNode {
@@ -33,6 +34,8 @@
 
  private:
   void HandleControl(const std::string& from, wire::Channel channel, const std::string& payload);
+  std::set<std::string> OtherControlHosts() const;
+  void SendToControlHosts(const directory::SyncAnswer& changes);
   void HandleSync(const std::string& from, const directory::SyncRequest& request);
   void HandleCall(const http_stream::RequestMessage& message,
                   const http_stream::Exchange& exchange);
@@ -51,7 +54,7 @@
   base::Clock clock_ = base::SystemClock();
   const storage::FileSystem file_system_;
   storage::DataFolder data_folder_;
-  directory::Registry registry_;
+  directory::ControlDirectory directory_;
   std::unique_ptr<transport::PeerTransport> peers_;
   std::unique_ptr<control_member::Member> member_;
   std::unique_ptr<http_stream::Server> call_server_;
--- a/libraries/mesh/directory_sync.cc
+++ b/libraries/mesh/directory_sync.cc
@@ -1,15 +1,29 @@
 #include "libraries/mesh/directory_sync.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace borageloft::mesh {
 
-DirectorySync::DirectorySync(std::vector<std::string> seeds, DirectorySyncHooks hooks)
-    : seeds_(seeds.begin(), seeds.end()), hooks_(std::move(hooks)), hosts_(seeds_) {}
+namespace {
+
+// Added to the rank of a control host, in this order of weight.
+constexpr std::uint64_t kOtherZoneRank = std::uint64_t{1} << 32U;
+constexpr std::uint64_t kNoContactRank = std::uint64_t{1} << 33U;
+
+}  // namespace
+
+DirectorySync::DirectorySync(std::string zone, std::vector<std::string> seeds,
+                             DirectorySyncHooks hooks)
+    : zone_(std::move(zone)), hooks_(std::move(hooks)) {
+  SetSeeds(std::move(seeds));
+}
 
 void DirectorySync::SetSeeds(std::vector<std::string> seeds) {
   seeds_ = {seeds.begin(), seeds.end()};
-  hosts_.insert(seeds_.begin(), seeds_.end());
+  for (const std::string& seed : seeds_) {
+    hosts_.try_emplace(seed);
+  }
 }
 
 void DirectorySync::SetRecord(const directory::InstanceRecord& record) {
@@ -17,67 +31,138 @@
     return;
   }
   record_ = record;
-  for (const std::string& host : hosts_) {
-    SendSyncRequest(host);
+  if (preferred_.empty()) {
+    SendToOthers();
+    return;
+  }
+  Send(preferred_, directory::SyncKind::kRecords);
+  if (!second_.empty()) {
+    Send(second_, directory::SyncKind::kRenewal);
   }
 }
 
 void DirectorySync::Poll() {
   const base::TimePoint now = hooks_.clock();
-  for (auto host = last_answers_.begin(); host != last_answers_.end();) {
-    if (now - host->second < kHostExpiry) {
-      ++host;
-      continue;
-    }
-    base::Log(base::LogLevel::kWarning, "control_host_lost", {{"host", host->first}});
-    const bool has_changed = view_.Forget(host->first);
-    host = last_answers_.erase(host);
-    if (has_changed) {
-      hooks_.on_records();
-    }
+  ExpireHosts(now);
+  SelectHosts();
+  ++polls_;
+  if (!preferred_.empty()) {
+    Send(preferred_, directory::SyncKind::kRecords);
   }
-  if (!has_current_answer_) {
-    for (const std::string& host : hosts_) {
-      SendSyncRequest(host);
-    }
+  if (!has_current_answer_ || NeedsOthers()) {
+    SendToOthers();
     return;
   }
-  // A host that did not answer the last requests is skipped in most rounds. If every host would be
-  // skipped, the last one is polled.
-  for (std::size_t round = 0; round < hosts_.size(); ++round) {
-    auto next = hosts_.upper_bound(last_polled_);
-    if (next == hosts_.end()) {
-      next = hosts_.begin();
-    }
-    last_polled_ = *next;
-    unsigned& unanswered = unanswered_rounds_[last_polled_];
-    const bool is_skipped = unanswered > 1 && unanswered % (kSkippedRoundsPerPoll + 1) != 0;
-    if (!is_skipped || round + 1 == hosts_.size()) {
-      SendSyncRequest(last_polled_);
+  if (polls_ % kPollsPerRenewal != 0) {
+    return;
+  }
+  if (!second_.empty()) {
+    Send(second_, directory::SyncKind::kRenewal);
+  }
+  // A control host of the own zone, or any one that returned, is found by asking the others in
+  // turn.
+  auto next = hosts_.upper_bound(last_asked_);
+  for (std::size_t i = 0; i < hosts_.size(); ++i, ++next) {
+    next = next == hosts_.end() ? hosts_.begin() : next;
+    const bool is_known = next->first == preferred_ || next->first == second_;
+    if (!is_known && !(IsReachable(next->second) && hosts_.at(preferred_).zone == zone_)) {
+      last_asked_ = next->first;
+      Send(last_asked_, directory::SyncKind::kRenewal);
       return;
     }
-    ++unanswered;
   }
 }
 
-void DirectorySync::SendSyncRequest(const std::string& host) {
-  const directory::DirectoryView::Position position = view_.PositionAt(host);
+void DirectorySync::Send(const std::string& host, directory::SyncKind kind) {
   directory::SyncRequest request;
   request.record = record_;
   request.known_version = version_;
-  request.registry_epoch = position.epoch;
-  request.registry_revision = position.revision;
-  ++unanswered_rounds_[host];
+  request.kind = kind;
+  if (kind == directory::SyncKind::kRecords) {
+    const directory::DirectoryView::Position position = view_.PositionAt(host);
+    request.registry_epoch = position.epoch;
+    request.registry_revision = position.revision;
+  }
+  std::optional<base::TimePoint>& awaited_since = hosts_[host].awaited_since;
+  awaited_since = awaited_since.value_or(hooks_.clock());
   hooks_.send(host, directory::Encode(request));
 }
 
+void DirectorySync::SendToOthers() {
+  for (const auto& [name, host] : std::map(hosts_)) {
+    if (name != preferred_) {
+      Send(name, directory::SyncKind::kRenewal);
+    }
+  }
+}
+
+void DirectorySync::ExpireHosts(base::TimePoint now) {
+  for (auto& [name, host] : hosts_) {
+    if (!host.has_answered || !host.awaited_since || now - *host.awaited_since < kHostExpiry) {
+      continue;
+    }
+    base::Log(base::LogLevel::kWarning, "control_host_lost", {{"host", name}});
+    host.has_answered = false;
+    const directory::NodeSet changed = view_.Forget(name);
+    if (!changed.empty()) {
+      hooks_.on_records(changed);
+    }
+  }
+}
+
+bool DirectorySync::IsReachable(const Host& host) const {
+  return host.has_answered &&
+         (!host.awaited_since || hooks_.clock() - *host.awaited_since < kAnswerTimeout);
+}
+
+// The others are asked as well while the preferred control host may know an old declaration.
+bool DirectorySync::NeedsOthers() const {
+  const auto preferred = hosts_.find(preferred_);
+  return preferred == hosts_.end() || !IsReachable(preferred->second) ||
+         !preferred->second.is_current;
+}
+
+// The hash spreads the nodes of a zone over the control hosts of equal rank.
+std::uint64_t DirectorySync::RankOf(const std::string& name, const Host& host) const {
+  const bool has_contact = hooks_.clock() - host.current_at < kContactGrace;
+  return (base::Hash(record_.node + name) & (kOtherZoneRank - 1)) +
+         (host.zone == zone_ ? 0 : kOtherZoneRank) + (has_contact ? 0 : kNoContactRank);
+}
+
+void DirectorySync::SelectHosts() {
+  std::vector<std::pair<std::uint64_t, std::string>> ranked;
+  for (const auto& [name, host] : hosts_) {
+    if (IsReachable(host)) {
+      ranked.emplace_back(RankOf(name, host), name);
+    }
+  }
+  std::sort(ranked.begin(), ranked.end());
+  const std::string first = ranked.empty() ? preferred_ : ranked.front().second;
+  second_ = ranked.size() < 2 ? "" : ranked[1].second;
+  if (first == preferred_) {
+    return;
+  }
+  base::Log(base::LogLevel::kInfo, "control_host_chosen",
+            {{"host", first}, {"before", preferred_}, {"zone", hosts_[first].zone}});
+  preferred_ = first;
+}
+
 void DirectorySync::Receive(const std::string& from, const directory::SyncAnswer& answer) {
-  unanswered_rounds_[from] = 0;
-  if (!last_answers_.contains(from)) {
-    base::Log(base::LogLevel::kInfo, "control_host_found", {{"host", from}});
+  const auto found = hosts_.find(from);
+  if (found == hosts_.end()) {
+    return;  // It has left the group since it was asked.
   }
-  last_answers_[from] = hooks_.clock();
+  Host& host = found->second;
+  if (!host.has_answered) {
+    base::Log(base::LogLevel::kInfo, "control_host_found", {{"host", from}, {"zone", answer.zone}});
+  }
+  const base::TimePoint now = hooks_.clock();
+  host.has_answered = true;
+  host.awaited_since.reset();
+  host.is_current = answer.is_current;
+  host.zone = answer.zone;
   if (answer.is_current) {
+    host.current_at = now;
     has_current_answer_ = true;
     UpdateHosts(answer.control_hosts);
   }
@@ -88,17 +173,38 @@
     version_ = answer.version;
     hooks_.on_declaration(answer.version, answer.declaration);
   }
-  if (view_.Apply(from, answer)) {
-    hooks_.on_records();
+  if (preferred_.empty()) {
+    SelectHosts();
+    Send(preferred_, directory::SyncKind::kRecords);
+  }
+  if (from != preferred_ || answer.registry_epoch == 0) {
+    return;
+  }
+  directory::NodeSet changed = view_.Apply(from, answer);
+  // A control host that has just started does not know all records yet; until then, those of the
+  // earlier one are kept.
+  if (answer.is_complete) {
+    changed.merge(view_.ForgetOthers(from));
+  }
+  if (!changed.empty()) {
+    hooks_.on_records(changed);
   }
 }
 
 void DirectorySync::UpdateHosts(const std::vector<std::string>& hosts) {
   std::set<std::string> updated(hosts.begin(), hosts.end());
   updated.insert(seeds_.begin(), seeds_.end());
-  hosts_ = std::move(updated);
+  std::erase_if(hosts_, [&](const auto& known) {
+    return !updated.contains(known.first) && known.first != preferred_;
+  });
+  for (const std::string& host : updated) {
+    hosts_.try_emplace(host);
+  }
 }
 
-std::size_t DirectorySync::reachable_hosts() const { return last_answers_.size(); }
+std::size_t DirectorySync::reachable_hosts() const {
+  return static_cast<std::size_t>(std::count_if(
+      hosts_.begin(), hosts_.end(), [](const auto& known) { return known.second.has_answered; }));
+}
 
 }  // namespace borageloft::mesh
--- a/libraries/mesh/mesh_node.cc
+++ b/libraries/mesh/mesh_node.cc
@@ -153,11 +153,12 @@
   sync_hooks.send = [this](const std::string& address, std::string bytes) {
     peers_->SendControl(PeerAddressOf(address), wire::Channel::kMembership, std::move(bytes));
   };
-  sync_hooks.on_records = [this] { HandleRecords(); };
+  sync_hooks.on_records = [this](const directory::NodeSet& changed) { HandleRecords(changed); };
   sync_hooks.on_declaration = [this](std::uint64_t version, const std::string& text) {
     HandleDeclaration(version, text);
   };
-  sync_ = std::make_unique<DirectorySync>(SeedNodes(settings), std::move(sync_hooks));
+  sync_ =
+      std::make_unique<DirectorySync>(settings.zone, SeedNodes(settings), std::move(sync_hooks));
   transport::TransportOptions peer_options = PeerOptions(settings);
   // Traffic within a zone is cheap; traffic between zones is worth the CPU time to compress it.
   peer_options.crosses_zones = [this](const std::string& node) {
@@ -352,15 +353,20 @@
   }
 }
 
-void MeshNode::HandleRecords() {
-  std::map<std::string, directory::InstanceRecord> records = sync_->view().records();
-  // The node's own record is newer than the copy that the control hosts return.
-  records.erase(node_);
-  if (!record_.instance.empty()) {
-    records.emplace(node_, record_);
+void MeshNode::HandleRecords(const directory::NodeSet& changed) {
+  const std::map<std::string, directory::InstanceRecord>& records = sync_->view().records();
+  for (const std::string& node : changed) {
+    if (node == node_) {
+      continue;  // The node's own record is newer than the copy that the control hosts return.
+    }
+    if (const auto record = records.find(node); record != records.end()) {
+      entry_->chooser().Set(record->second);
+    } else {
+      entry_->chooser().Remove(node);
+    }
   }
-  entry_->chooser().Update(records);
-  entry_->budget().set_nodes(records.size());
+  const std::size_t own = records.contains(node_) ? 0 : 1;
+  entry_->budget().set_nodes(records.size() + own);
 }
 
 void MeshNode::PublishRecord() {
@@ -392,7 +398,11 @@
   record.revision = ++record_revision_;
   record_ = record;
   sync_->SetRecord(record_);
-  HandleRecords();
+  if (record_.instance.empty()) {
+    entry_->chooser().Remove(node_);
+  } else {
+    entry_->chooser().Set(record_);
+  }
 }
 
 bool MeshNode::IsWithdrawn() const {
--- a/libraries/mesh/mesh_node.h
+++ b/libraries/mesh/mesh_node.h
@@ -50,7 +50,7 @@
                          transport::Responder respond);
   void HandlePeerCancel(const transport::InboundRequestId& id);
   void HandleDeclaration(std::uint64_t version, const std::string& text);
-  void HandleRecords();
+  void HandleRecords(const directory::NodeSet& changed);
   void PublishRecord();
   bool IsWithdrawn() const;
   void CheckInstance();
--- a/libraries/request_path/instance_chooser.cc
+++ b/libraries/request_path/instance_chooser.cc
@@ -62,20 +62,12 @@
   return nullptr;
 }
 
-void InstanceChooser::RememberAbsent(
-    const std::map<std::string, directory::InstanceRecord>& records) {
-  for (const auto& [service, members] : services_) {
-    for (const Member& member : members) {
-      const auto record = records.find(member.record.node);
-      const bool is_kept =
-          record != records.end() && record->second.service == service &&
-          directory::MayBeSame(IncarnationOf(member.record), IncarnationOf(record->second));
-      if (!is_kept && (member.told.rate_limit_milli > 0 || member.told.leaving_since)) {
-        absent_.emplace_back(IncarnationOf(member.record), member.told);
-      }
-    }
+void InstanceChooser::RememberAbsent(const Member& member) {
+  if (member.told.rate_limit_milli == 0 && !member.told.leaving_since) {
+    return;
   }
-  while (absent_.size() > kMaxAbsent) {
+  absent_.emplace_back(IncarnationOf(member.record), member.told);
+  if (absent_.size() > kMaxAbsent) {
     absent_.pop_front();
   }
 }
@@ -102,22 +94,34 @@
   return FindMemberIn<const Member>(services_, service, node);
 }
 
-void InstanceChooser::Update(const std::map<std::string, directory::InstanceRecord>& records) {
-  RememberAbsent(records);
-  std::unordered_map<std::string, Members> services;
-  for (const auto& [node, record] : records) {
-    Member member;
-    if (const Member* known = FindMember(record.service, node);
-        known != nullptr &&
-        directory::MayBeSame(IncarnationOf(known->record), IncarnationOf(record))) {
-      member = *known;
-    } else {
-      member.told = TakeAbsent(IncarnationOf(record));
-    }
-    member.record = record;
-    services[record.service].push_back(std::move(member));
+void InstanceChooser::Set(const directory::InstanceRecord& record) {
+  Member* known = FindMember(record.service, record.node);
+  if (known != nullptr &&
+      directory::MayBeSame(IncarnationOf(known->record), IncarnationOf(record))) {
+    known->record = record;
+    return;
   }
-  services_ = std::move(services);
+  Remove(record.node);
+  Member member;
+  member.told = TakeAbsent(IncarnationOf(record));
+  member.record = record;
+  services_[record.service].push_back(std::move(member));
+  service_by_node_[record.node] = record.service;
+}
+
+void InstanceChooser::Remove(const std::string& node) {
+  const auto known = service_by_node_.find(node);
+  if (known == service_by_node_.end()) {
+    return;
+  }
+  Members& members = services_.at(known->second);
+  const auto member = std::find_if(members.begin(), members.end(), [&](const Member& candidate) {
+    return candidate.record.node == node;
+  });
+  VERIFY(member != members.end());
+  RememberAbsent(*member);
+  members.erase(member);
+  service_by_node_.erase(known);
 }
 
 bool InstanceChooser::IsBeyondRateLimit(const Member& member, const RootPosition& root,
--- a/libraries/request_path/instance_chooser.h
+++ b/libraries/request_path/instance_chooser.h
@@ -4,7 +4,6 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
-#include <map>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -50,8 +49,11 @@
     is_silent_ = std::move(hook);
   }
 
-  /** Replaces the records. The statistics of instances that remain are kept. */
-  void Update(const std::map<std::string, directory::InstanceRecord>& records);
+  /** Adds or replaces the record of a node. The statistics are kept if its instance is the same. */
+  void Set(const directory::InstanceRecord& record);
+
+  /** Removes the record of a node, if there is one. */
+  void Remove(const std::string& node);
 
   /**
    * Chooses an instance without recording an attempt.
@@ -132,7 +134,7 @@
     return {record.instance, record.born};
   }
   Told TakeAbsent(const directory::Incarnation& incarnation);
-  void RememberAbsent(const std::map<std::string, directory::InstanceRecord>& records);
+  void RememberAbsent(const Member& member);
 
   Member* FindMember(const std::string& service, const std::string& node);
   const Member* FindMember(const std::string& service, const std::string& node) const;
@@ -150,6 +152,7 @@
   std::string zone_;
   std::function<bool(const std::string& node)> is_silent_;
   std::unordered_map<std::string, Members> services_;
+  std::unordered_map<std::string, std::string> service_by_node_;
   std::deque<std::pair<directory::Incarnation, Told>> absent_;  // The oldest comes first.
 };
 
--- a/tests/directory/directory_test.cc
+++ b/tests/directory/directory_test.cc
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <map>
+
 namespace borageloft::directory {
 namespace {
 
@@ -197,10 +200,133 @@
   one.Expire(now_);
   Sync(one, "c1");
   EXPECT_EQ(view_.records().size(), 1U);
-  EXPECT_TRUE(view_.Forget("c2"));
+  EXPECT_FALSE(view_.Forget("c2").empty());
   EXPECT_EQ(view_.records().size(), 0U);
 }
 
+/** Control hosts that exchange their records, without losses unless a link is cut. */
+class ControlDirectoryTest : public ::testing::Test {
+ protected:
+  void Exchange(const std::string& from, const std::string& to) {
+    SyncAnswer answer;
+    hosts_.at(from).FillAnswer(hosts_.at(to).ExchangeRequest(from), answer);
+    hosts_.at(to).Receive(from, answer, now_);
+  }
+  void ExchangeAll() {
+    for (const auto& [from, sender] : hosts_) {
+      for (const auto& [to, receiver] : hosts_) {
+        if (from != to) {
+          Exchange(from, to);
+        }
+      }
+    }
+  }
+  void ExpireAll() {
+    for (auto& [name, host] : hosts_) {
+      host.Expire(now_);
+    }
+  }
+  std::vector<std::string> Served(const std::string& name) {
+    SyncAnswer answer;
+    hosts_.at(name).FillAnswer({}, answer);
+    std::vector<std::string> nodes;
+    for (const InstanceRecord& record : answer.records) {
+      nodes.push_back(record.node);
+    }
+    std::sort(nodes.begin(), nodes.end());
+    return nodes;
+  }
+
+  base::TimePoint now_{seconds(100)};
+  std::map<std::string, ControlDirectory> hosts_{
+      {"c1", {1, seconds(4), now_}}, {"c2", {2, seconds(4), now_}}, {"c3", {3, seconds(4), now_}}};
+};
+
+using Nodes = std::vector<std::string>;
+
+// Guards against a node that only the nodes of its own zone know.
+TEST_F(ControlDirectoryTest, ServesTheRecordsOfOtherControlHosts) {
+  hosts_.at("c1").Renew(Record("a", 1, 1), now_);
+  EXPECT_EQ(Served("c2"), Nodes{});
+  ExchangeAll();
+  EXPECT_EQ(Served("c2"), Nodes{"a"});
+  hosts_.at("c1").Renew(Record("a", 1, 2), now_);
+  const SyncAnswer changes = hosts_.at("c1").TakeChanges();
+  EXPECT_FALSE(hosts_.at("c1").has_changes());
+  hosts_.at("c2").Receive("c1", changes, now_);
+  SyncAnswer answer;
+  hosts_.at("c2").FillAnswer({}, answer);
+  ASSERT_EQ(answer.records.size(), 1U);
+  EXPECT_EQ(answer.records.front().revision, 2U);
+}
+
+// Guards against records that are passed on without end after their node is gone.
+TEST_F(ControlDirectoryTest, PassesOnOnlyWhatIsRenewedHere) {
+  hosts_.at("c1").Renew(Record("a", 1, 1), now_);
+  Exchange("c1", "c2");
+  Exchange("c2", "c3");
+  EXPECT_EQ(Served("c3"), Nodes{});
+  now_ += seconds(5);
+  ExpireAll();
+  ExchangeAll();
+  EXPECT_EQ(Served("c2"), Nodes{});
+}
+
+// Guards against nodes that vanish for a zone whose control host cannot reach theirs: each node
+// renews its record at a second control host.
+TEST_F(ControlDirectoryTest, KeepsANodeKnownThroughASecondControlHost) {
+  hosts_.at("c1").Renew(Record("a", 1, 1), now_);
+  hosts_.at("c3").Renew(Record("a", 1, 1), now_);
+  ExchangeAll();
+  for (int second = 0; second < 12; ++second) {
+    now_ += seconds(1);
+    hosts_.at("c1").Renew(Record("a", 1, 1), now_);
+    hosts_.at("c3").Renew(Record("a", 1, 1), now_);
+    ExpireAll();
+    Exchange("c3", "c2");  // The link from c1 to c2 is cut.
+  }
+  EXPECT_EQ(Served("c2"), Nodes{"a"});
+}
+
+// Guards against an older view that revives an instance that has left: the node moved to another
+// control host, and the first one still lists the earlier record.
+TEST_F(ControlDirectoryTest, AnOlderRecordElsewhereRevivesNothing) {
+  hosts_.at("c1").Renew(Record("a", 1, 1), now_);
+  ExchangeAll();
+  InstanceRecord gone = Record("a", 1, 2);
+  gone.instance.clear();
+  hosts_.at("c2").Renew(gone, now_);
+  ExchangeAll();
+  for (const char* host : {"c1", "c2", "c3"}) {
+    EXPECT_EQ(Served(host), Nodes{}) << host;
+  }
+}
+
+// Guards against a control host that restarts empty and removes what the others still know, and
+// against one that is lost and leaves its records behind.
+TEST_F(ControlDirectoryTest, ARestartedControlHostLearnsFromTheOthers) {
+  hosts_.at("c1").Renew(Record("a", 1, 1), now_);
+  hosts_.at("c2").Renew(Record("b", 1, 1), now_);
+  ExchangeAll();
+  hosts_.erase("c1");
+  hosts_.emplace("c1", ControlDirectory(11, seconds(4), now_));
+  ExchangeAll();
+  EXPECT_EQ(Served("c1"), Nodes{"b"});
+  EXPECT_EQ(Served("c2"), (Nodes{"a", "b"})) << "the new c1 is not complete yet";
+  for (int second = 0; second < 5; ++second) {
+    now_ += seconds(1);
+    hosts_.at("c2").Renew(Record("b", 1, 1), now_);
+    ExpireAll();
+    ExchangeAll();
+  }
+  EXPECT_EQ(Served("c2"), Nodes{"b"});
+  for (int second = 0; second < 9; ++second) {
+    now_ += seconds(1);
+    ExpireAll();
+  }
+  EXPECT_EQ(Served("c3"), Nodes{}) << "c2 was not heard for longer than its records are kept";
+}
+
 // Guards against a decoder that accepts truncated messages or fails otherwise on corrupted ones.
 TEST(MessagesTest, RoundTripAndRefuseDamage) {
   SyncAnswer answer;
@@ -210,11 +336,13 @@
   answer.control_hosts = {"10.0.0.1:7620"};
   answer.records = {Record("a", 1, 2)};
   answer.removed = {"b"};
+  answer.zone = "z";
   const std::string bytes = Encode(answer);
   const auto decoded = std::get<SyncAnswer>(Decode(bytes));
   EXPECT_EQ(decoded.records, answer.records);
   EXPECT_EQ(decoded.removed, answer.removed);
   EXPECT_EQ(decoded.declaration, "text");
+  EXPECT_EQ(decoded.zone, "z");
   for (std::size_t size = 0; size < bytes.size(); ++size) {
     EXPECT_THROW(Decode(std::string_view(bytes).substr(0, size)), DirectoryError) << size;
   }
--- a/tests/request_path/entry_test.cc
+++ b/tests/request_path/entry_test.cc
@@ -44,7 +44,6 @@
     };
     hooks.on_call_failed = [this](const std::string& id) { failed_parents_.push_back(id); };
     entry_ = std::make_unique<Entry>(std::move(options), "z", std::move(hooks), timers_, log_);
-    std::map<std::string, directory::InstanceRecord> records;
     for (const char* node : {"n1", "n2"}) {
       directory::InstanceRecord record;
       record.node = node;
@@ -52,9 +51,8 @@
       record.service = "parts";
       record.instance = std::string("i-") + node;
       record.slots = 10;
-      records[node] = record;
+      entry_->chooser().Set(record);
     }
-    entry_->chooser().Update(records);
   }
   void TearDown() override {
     entry_.reset();
@@ -287,7 +285,8 @@
     Ask({}, "parent.child");
   }
   EXPECT_EQ(entry_->RemoteCalls(50), 0U);
-  entry_->chooser().Update({});
+  entry_->chooser().Remove("n1");
+  entry_->chooser().Remove("n2");
   EXPECT_EQ(entry_->RemoteCalls(50), 4U);
   EXPECT_EQ(entry_->RemoteCalls(10), 0U);  // Too few runs for a mean.
 }
--- a/tests/request_path/instance_chooser_test.cc
+++ b/tests/request_path/instance_chooser_test.cc
@@ -19,7 +19,18 @@
     record.instance = "i-" + node;
     record.slots = 10;
     records_[node] = record;
-    chooser_.Update(records_);
+    ApplyRecords();
+  }
+  void ApplyRecords() {
+    for (const std::string& node : std::exchange(applied_, {})) {
+      if (!records_.contains(node)) {
+        chooser_.Remove(node);
+      }
+    }
+    for (const auto& [node, record] : records_) {
+      chooser_.Set(record);
+      applied_.push_back(node);
+    }
   }
   std::string Choose(const std::vector<std::string>& tried = {},
                      wire::RequestOrigin origin = wire::RequestOrigin::kCaller) {
@@ -49,6 +60,7 @@
 
   base::TimePoint now_{std::chrono::seconds(100)};
   base::Random random_ = base::SeededRandom(3);
+  std::vector<std::string> applied_;
   std::map<std::string, directory::InstanceRecord> records_;
   InstanceChooser chooser_{"here"};
 };
@@ -69,16 +81,16 @@
   Add("near", "here");
   Add("far", "there");
   records_["near"].remote_calls = 4;
-  chooser_.Update(records_);
+  ApplyRecords();
   EXPECT_EQ(Choose({}, wire::RequestOrigin::kUpstream), "far");
   EXPECT_EQ(Choose(), "near");
   records_["near"].remote_calls = 1;
   records_["far"].remote_calls = 1;
-  chooser_.Update(records_);
+  ApplyRecords();
   EXPECT_EQ(Choose({}, wire::RequestOrigin::kUpstream), "near");
   EXPECT_TRUE(chooser_.HasInstanceInZone("parts"));
   records_["near"].state = directory::InstanceState::kLeaving;
-  chooser_.Update(records_);
+  ApplyRecords();
   EXPECT_FALSE(chooser_.HasInstanceInZone("parts"));
 }
 
@@ -106,7 +118,7 @@
   EXPECT_EQ(Choose({"b"}), "a");
   EXPECT_EQ(Choose({"a", "b"}), "");
   records_["b"].state = directory::InstanceState::kLeaving;
-  chooser_.Update(records_);
+  ApplyRecords();
   now_ += std::chrono::seconds(2);
   EXPECT_EQ(ChooseMany(50)["a"], 50);
 }
@@ -139,7 +151,7 @@
     End("a", AttemptOutcome::kFailed, milliseconds(1));
   }
   records_["a"].instance = "i-new";
-  chooser_.Update(records_);
+  ApplyRecords();
   EXPECT_GT(ChooseMany(100)["a"], 0);
   EXPECT_EQ(chooser_.Choose("other", wire::RequestOrigin::kCaller, {},
                             CandidateFilter::kExcludeTried, now_, random_),
@@ -151,14 +163,14 @@
   Add("near", "here");
   Add("far", "there");
   records_["near"].slowdown_steps = 1;
-  chooser_.Update(records_);
+  ApplyRecords();
   EXPECT_EQ(ChooseMany(50)["near"], 50);
   records_["near"].slowdown_steps = 2;
-  chooser_.Update(records_);
+  ApplyRecords();
   EXPECT_EQ(ChooseMany(50)["far"], 50);
   Add("other", "there");
   records_["other"].slowdown_steps = 1;
-  chooser_.Update(records_);
+  ApplyRecords();
   EXPECT_EQ(ChooseMany(50)["far"], 50);
 }
 
@@ -169,10 +181,10 @@
   Add("b", "here");
   EXPECT_FALSE(chooser_.IsLeaf("parts"));
   records_["a"].calls = directory::CallUse::kNone;
-  chooser_.Update(records_);
+  ApplyRecords();
   EXPECT_TRUE(chooser_.IsLeaf("parts"));
   records_["b"].calls = directory::CallUse::kSome;
-  chooser_.Update(records_);
+  ApplyRecords();
   EXPECT_FALSE(chooser_.IsLeaf("parts"));
 }
 
@@ -195,10 +207,10 @@
   End("far", AttemptOutcome::kServed, milliseconds(80), 1, 5000);
   EXPECT_FALSE(chooser_.HasInstanceWithoutRateLimit("parts"));
   records_["near"].born = 7;  // The first heartbeat after the node has found its instance.
-  chooser_.Update(records_);
+  ApplyRecords();
   EXPECT_EQ(chooser_.RateLimitMilli("parts", "near"), 5000U);
   records_["near"].born = 8;
-  chooser_.Update(records_);
+  ApplyRecords();
   EXPECT_EQ(chooser_.RateLimitMilli("parts", "near"), 0U);
 }
 
@@ -217,16 +229,16 @@
   EXPECT_EQ(Choose(), "");
   const directory::InstanceRecord record = records_["near"];
   records_.erase("near");
-  chooser_.Update(records_);
+  ApplyRecords();
   records_["near"] = record;
   records_["near"].epoch = 2;
-  chooser_.Update(records_);
+  ApplyRecords();
   EXPECT_EQ(Choose(), "");
   records_["near"].born = 7;
-  chooser_.Update(records_);
+  ApplyRecords();
   EXPECT_EQ(Choose(), "");
   records_["near"].born = 8;
-  chooser_.Update(records_);
+  ApplyRecords();
   EXPECT_EQ(Choose(), "near");
 }
 
