--- a/libraries/declaration/route_table.cc
+++ b/libraries/declaration/route_table.cc
@@ -4,7 +4,8 @@
 
 namespace borageloft::declaration {
 
-RouteEntry::RouteEntry(Route route) : route_(std::move(route)) {
+RouteEntry::RouteEntry(Route route, const base::Random& random)
+    : route_(std::move(route)), steps_to_start_(base::DrawBelow(random, kStartPositions)) {
   for (const WeightedService& target : route_.targets) {
     weight_sum_ += target.weight;
   }
@@ -12,6 +13,15 @@
 }
 
 const std::string& RouteEntry::NextService() {
+  if (route_.targets.size() > 1) {
+    for (; steps_to_start_ > 0; --steps_to_start_) {
+      Advance();
+    }
+  }
+  return Advance();
+}
+
+const std::string& RouteEntry::Advance() {
   std::size_t best = current_weights_.size();
   for (std::size_t i = 0; i < current_weights_.size(); ++i) {
     if (route_.targets[i].weight <= 0) {
@@ -27,9 +37,9 @@
   return route_.targets[best].service;
 }
 
-RouteTable::RouteTable(const Declaration& declaration) {
+RouteTable::RouteTable(const Declaration& declaration, const base::Random& random) {
   for (const Route& route : declaration.routes) {
-    hosts_[NormalizeHost(route.host)].emplace(route.path_prefix, RouteEntry(route));
+    hosts_[NormalizeHost(route.host)].emplace(route.path_prefix, RouteEntry(route, random));
     ++size_;
   }
 }
--- a/libraries/declaration/route_table.h
+++ b/libraries/declaration/route_table.h
@@ -14,19 +14,28 @@
 /** A route with the state of its weighted round robin. */
 class RouteEntry {
  public:
-  explicit RouteEntry(Route route);
+  /** @param random Chooses the position in the round robin at which this node begins. */
+  RouteEntry(Route route, const base::Random& random);
 
   const Route& route() const { return route_; }
 
   /**
    * Chooses the service for the next request by smooth weighted round robin, which keeps to the
-   * weights even over a few requests.
+   * weights even over a few requests. Each node begins at another position of the sequence, so that
+   * many nodes with one request each keep to the weights together.
    * @return Name of the service.
    */
   const std::string& NextService();
 
  private:
+  const std::string& Advance();
+
+  // Positions at which a node may begin. The sequence repeats after the sum of the weights, in
+  // units of their greatest common divisor, which is at most 100 for percentages.
+  static constexpr std::uint64_t kStartPositions = 400;
+
   Route route_;
+  std::uint64_t steps_to_start_;
   std::vector<double> current_weights_;
   double weight_sum_ = 0;
 };
@@ -34,8 +43,11 @@
 /** Finds the route of a request by host and longest path prefix. Not thread-safe. */
 class RouteTable {
  public:
-  /** @param declaration A valid declaration, see FindFault(). */
-  explicit RouteTable(const Declaration& declaration);
+  /**
+   * @param declaration A valid declaration, see FindFault().
+   * @param random Chooses the positions at which the splits begin.
+   */
+  RouteTable(const Declaration& declaration, const base::Random& random);
 
   /**
    * @param host Host of the request; case and port are ignored.
--- a/libraries/request_path/entry.cc
+++ b/libraries/request_path/entry.cc
@@ -71,7 +71,7 @@
 void Entry::SetDeclaration(const declaration::Declaration& declaration) {
   VERIFY(declaration.version > version_);
   version_ = declaration.version;
-  routes_ = std::make_unique<declaration::RouteTable>(declaration);
+  routes_ = std::make_unique<declaration::RouteTable>(declaration, hooks_.random);
 }
 
 CancelHook Entry::Handle(http_stream::RequestMessage message, base::TimePoint received,
--- a/tests/declaration/declaration_test.cc
+++ b/tests/declaration/declaration_test.cc
@@ -89,7 +89,7 @@
 
 // Guards against matching a shorter prefix, a partial path segment or the query.
 TEST(RouteTableTest, TakesTheLongestPrefixOfTheHost) {
-  RouteTable table(MakeValidDeclaration());
+  RouteTable table(MakeValidDeclaration(), base::SeededRandom(1));
   ASSERT_NE(table.Find("SHOP.example:80", "/x/y/z?q=/x/"), nullptr);
   EXPECT_EQ(table.Find("shop.example", "/x/y/z")->route().path_prefix, "/x/y/");
   EXPECT_EQ(table.Find("shop.example", "/x/yy")->route().path_prefix, "/x/");
@@ -103,7 +103,7 @@
 // Guards against a split that follows the weights only over many requests, and against requests to
 // targets of weight 0.
 TEST(RouteTableTest, SplitsByWeightAlsoOverFewRequests) {
-  RouteEntry entry(MakeRoute("/x/", {{"zero", 0}, {"a", 90}, {"b", 10}}));
+  RouteEntry entry(MakeRoute("/x/", {{"zero", 0}, {"a", 90}, {"b", 10}}), base::SeededRandom(1));
   std::map<std::string, int> counts;
   for (int i = 1; i <= 1000; ++i) {
     ++counts[entry.NextService()];
@@ -112,6 +112,23 @@
   EXPECT_EQ(counts["zero"], 0);
 }
 
+// Guards against a large fleet that sends the lighter part of a split nothing: each node sees few
+// requests between two declarations and begins with the heavier part.
+TEST(RouteTableTest, ManyNodesKeepToTheWeightsTogether) {
+  const base::Random random = base::SeededRandom(7);
+  constexpr int kNodes = 200;
+  for (const int requests : {1, 3}) {
+    std::map<std::string, int> counts;
+    for (int node = 0; node < kNodes; ++node) {
+      RouteEntry entry(MakeRoute("/x/", {{"a", 70}, {"b", 30}}), random);
+      for (int i = 0; i < requests; ++i) {
+        ++counts[entry.NextService()];
+      }
+    }
+    EXPECT_NEAR(counts["b"] / static_cast<double>(kNodes * requests), 0.3, 0.1) << requests;
+  }
+}
+
 // Guards against accepting two declarations with the same base, and against refusing a retry after
 // its acknowledgement was lost.
 TEST(DeclarationRegisterTest, AppliesCompareAndSet) {
