HttpStream: Count a response as unfinished until the caller has it

Planned stops: a node judged itself idle as soon as the last response was handed to the socket's buffer, stopped its loop and cut a large answer, or reset one whose caller had sent further bytes. Class: a state that changes before the effect it stands for is complete. unfinished_responses() counts connections that still write or close, and a draining node waits for them.

Also: '100 Continue' was written again for each piece of a body and never behind a pipelined request; an exception of the request handler left the event loop and ended the process, now it ends that connection. Cut answers: each position of a head and of each framing, with and without an interim response, is refused; that test passed on the earlier code.

Tests failed first: AnAnswerIsInProgressUntilTheCallerHasReadIt, ContinuesOnce, AnErrorOfAHandlerEndsOnlyItsConnection.

--- a/libraries/http_stream/server.cc
+++ b/libraries/http_stream/server.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -85,6 +86,12 @@
   });
 }
 
+std::size_t Server::unfinished_responses() const {
+  return static_cast<std::size_t>(
+      std::count_if(sessions_.begin(), sessions_.end(),
+                    [](const auto& session) { return session.second->has_unfinished_response(); }));
+}
+
 void Server::Stop() {
   asio::error_code ignored;
   acceptor_.close(ignored);
--- a/libraries/http_stream/server.h
+++ b/libraries/http_stream/server.h
@@ -99,8 +99,13 @@
   /** Stops accepting and closes every connection. */
   void Stop();
 
-  /** @return Number of requests received whose response has not been written yet. */
+  /** @return Number of requests received that have no response yet, or one behind such a request.
+   */
   std::size_t exchanges_in_progress() const { return exchanges_in_progress_; }
+
+  /** @return Number of connections on which a response is not yet written in full, or whose closing
+   * the caller has not completed. */
+  std::size_t unfinished_responses() const;
   std::size_t connection_count() const { return sessions_.size(); }
   const ServerCounters& counters() const { return counters_; }
 
--- a/libraries/http_stream/session.cc
+++ b/libraries/http_stream/session.cc
@@ -85,20 +85,28 @@
     if (was_idle) {
       RestartTimer();
     }
-    if (parser_.expects_continue() && parser_.state() == ParseState::kBody && pipeline_.empty()) {
-      output_ += "HTTP/1.1 100 Continue\r\n\r\n";
-      Write();
-    }
+    ContinueIfExpected();
     if (consumed == 0) {
       return;
     }
   }
 }
 
+void Session::ContinueIfExpected() {
+  if (has_continued_ || !parser_.expects_continue() || parser_.state() != ParseState::kBody ||
+      !pipeline_.empty()) {
+    return;
+  }
+  has_continued_ = true;
+  output_ += "HTTP/1.1 100 Continue\r\n\r\n";
+  Write();
+}
+
 void Session::HandleRequest() {
   RequestMessage request = parser_.TakeRequest();
   request.source = peer_address_;
   parser_.set_limits(server_->limits_.message);
+  has_continued_ = false;
   timer_.cancel();
   PendingRequest pending;
   pending.number = next_number_++;
@@ -109,7 +117,12 @@
   pipeline_.push_back(std::move(pending));
   ++server_->exchanges_in_progress_;
   ++server_->counters_.requests;
-  server_->handler_(std::move(request), Now(), Exchange(weak_from_this(), number));
+  try {
+    server_->handler_(std::move(request), Now(), Exchange(weak_from_this(), number));
+  } catch (const std::exception& error) {
+    base::Log(base::LogLevel::kError, "request_handler_failed", {{"error", error.what()}});
+    Close();
+  }
 }
 
 void Session::RejectRequest() {
@@ -180,6 +193,7 @@
   if (!is_closed_ && !is_discarding_input_) {
     ParseInput();
     if (!is_closed_ && pipeline_.empty()) {
+      ContinueIfExpected();
       RestartTimer();
     }
     Read();
--- a/libraries/http_stream/session.h
+++ b/libraries/http_stream/session.h
@@ -20,6 +20,8 @@
   void Start();
   void Respond(std::uint64_t number, ResponseMessage response);
   void NotifyAbandoned(std::uint64_t number, std::function<void()> callback);
+  /** @return Whether a response is not yet written in full, or the closing after it goes on. */
+  bool has_unfinished_response() const { return is_writing_ || !output_.empty() || is_lingering_; }
   /** Closes the connection immediately; its unanswered requests are abandoned. */
   void Close();
   /** Closes the connection and drops the pointer to the server, which is stopping. */
@@ -38,6 +40,7 @@
   void HandleBytes(std::size_t count);
   void ParseInput();
   void HandleRequest();
+  void ContinueIfExpected();
   void RejectRequest();
   void FlushResponses();
   void Write();
@@ -64,6 +67,7 @@
   std::uint64_t next_number_ = 1;
   std::string output_;
   std::string write_buffer_;
+  bool has_continued_ = false;  // The caller of the request being read was told to send its body.
   bool is_reading_ = false;
   bool is_writing_ = false;
   bool is_discarding_input_ = false;  // Bytes that arrive from now on are read but not parsed.
--- a/libraries/mesh/mesh_node.cc
+++ b/libraries/mesh/mesh_node.cc
@@ -449,7 +449,8 @@
     // A request accepted later might not finish before the process must exit.
     entry_->StopTaking();
   }
-  const bool is_idle = caller_server_->exchanges_in_progress() == 0 && gate_->running() == 0 &&
+  const bool is_idle = caller_server_->exchanges_in_progress() == 0 &&
+                       caller_server_->unfinished_responses() == 0 && gate_->running() == 0 &&
                        gate_->waiting() == 0;
   if ((is_idle && since >= kMinimumDrainTime) ||
       since >= loop_.settings().drain_time - kDrainMargin) {
--- a/tests/http_stream/message_parser_test.cc
+++ b/tests/http_stream/message_parser_test.cc
@@ -81,6 +81,34 @@
   EXPECT_EQ(unframed.TakeResponse().body, "abc");
 }
 
+// Guards against a back end that stops in the middle of an answer and whose answer is passed on as
+// complete: every position at which it can stop, for each framing.
+TEST(MessageParserTest, AnAnswerCutAnywhereIsNotComplete) {
+  const std::string head = "HTTP/1.1 200 OK\r\nSeal: s\r\nId: 7\r\n";
+  const std::string interim = "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n";
+  for (const std::string& prefix : {std::string(), interim}) {
+    for (const std::string& rest :
+         {std::string("Content-Length: 5\r\n\r\nhello"), std::string("Content-Length: 0\r\n\r\n"),
+          std::string("Transfer-Encoding: chunked\r\n\r\n3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n"),
+          std::string("Connection: close\r\n\r\nhello")}) {
+      const std::string whole = prefix + head + rest;
+      // Where the end of the connection ends the body, only a cut in the head can be told.
+      const bool is_framed = rest.find("close") == std::string::npos;
+      const std::size_t end = is_framed ? whole.size() : whole.find("\r\n\r\n", prefix.size()) + 4;
+      for (std::size_t size = 0; size < end; ++size) {
+        MessageParser parser(MessageKind::kResponse, kLimits);
+        FeedAll(parser, whole.substr(0, size));
+        parser.FinishAtEnd();
+        EXPECT_NE(parser.state(), ParseState::kComplete) << whole.substr(0, size);
+      }
+      MessageParser parser(MessageKind::kResponse, kLimits);
+      FeedAll(parser, whole);
+      parser.FinishAtEnd();
+      EXPECT_EQ(parser.state(), ParseState::kComplete) << whole;
+    }
+  }
+}
+
 // Guards against treating an interim (1xx) response as the final one.
 TEST(MessageParserTest, SkipsInterimResponses) {
   MessageParser parser(MessageKind::kResponse, kLimits);
--- a/tests/http_stream/server_test.cc
+++ b/tests/http_stream/server_test.cc
@@ -26,6 +26,9 @@
     server_ = std::make_unique<Server>(
         context_, limits,
         [this](RequestMessage message, base::TimePoint, const Exchange& exchange) {
+          if (message.target == fails_at_) {
+            throw std::runtime_error("unexpected");
+          }
           received_.push_back({std::move(message), exchange});
         });
     const settings::Endpoint endpoint = server_->Listen({"127.0.0.1", 0});
@@ -77,6 +80,7 @@
   std::unique_ptr<Server> server_;
   tcp::socket client_{context_};
   std::deque<Received> received_;
+  std::string fails_at_;
   std::string collected_;
   bool has_ended_ = false;
 };
@@ -155,5 +159,66 @@
   EXPECT_NE(collected_.find("second"), std::string::npos);
 }
 
+// Guards against a node that stops while an answer is still being sent to a caller who reads
+// slowly.
+TEST_F(ServerTest, AnAnswerIsInProgressUntilTheCallerHasReadIt) {
+  Send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE(RunUntil([&] { return received_.size() == 1; }));
+  server_->BeginDrain();
+  const std::string body(std::size_t{16} << 20U, 'x');
+  received_[0].exchange.Respond(MakeResponse(body));
+  RunUntil([] { return true; });
+  EXPECT_EQ(server_->unfinished_responses(), 1U);
+  ASSERT_TRUE(RunUntil([&] {
+    Collect();
+    return has_ended_;
+  }));
+  EXPECT_GT(collected_.size(), body.size());
+  client_.close();
+  EXPECT_TRUE(RunUntil([&] { return server_->unfinished_responses() == 0; }));
+}
+
+// Guards against an interim response for each piece of a body, which is no answer in the protocol.
+TEST_F(ServerTest, ContinuesOnce) {
+  Send("POST /1 HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n");
+  ASSERT_TRUE(RunUntil([&] { return Collect().find("100 Continue") != std::string::npos; }));
+  for (const char* piece : {"a", "b", "c", "d"}) {
+    Send(piece);
+    context_.restart();
+    context_.run_for(std::chrono::milliseconds(5));
+  }
+  ASSERT_TRUE(RunUntil([&] { return received_.size() == 1; }));
+  received_[0].exchange.Respond(MakeResponse("done"));
+  ASSERT_TRUE(RunUntil([&] { return Collect().find("done") != std::string::npos; }));
+  EXPECT_EQ(collected_.find("100 Continue"), collected_.rfind("100 Continue"));
+}
+
+// Guards against a caller that waits to be told to send its body, which follows another request.
+TEST_F(ServerTest, ContinuesAfterTheRequestBefore) {
+  Send(
+      "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"
+      "POST /2 HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n");
+  ASSERT_TRUE(RunUntil([&] { return received_.size() == 1; }));
+  received_[0].exchange.Respond(MakeResponse("first"));
+  ASSERT_TRUE(RunUntil([&] { return Collect().find("100 Continue") != std::string::npos; }));
+  EXPECT_LT(collected_.find("first"), collected_.find("100 Continue"));
+}
+
+// Guards against an unexpected error in the handling of one request that ends the process.
+TEST_F(ServerTest, AnErrorOfAHandlerEndsOnlyItsConnection) {
+  fails_at_ = "/fails";
+  tcp::socket other(context_);
+  other.connect(client_.remote_endpoint());
+  Send("GET /fails HTTP/1.1\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE(RunUntil([&] {
+    Collect();
+    return has_ended_;
+  }));
+  EXPECT_EQ(server_->exchanges_in_progress(), 0U);
+  asio::write(other, asio::buffer(std::string("GET /works HTTP/1.1\r\nHost: h\r\n\r\n")));
+  ASSERT_TRUE(RunUntil([&] { return received_.size() == 1; }));
+  EXPECT_EQ(received_[0].message.target, "/works");
+}
+
 }  // namespace
 }  // namespace borageloft::http_stream
