Timer, Transport, RequestPath: Let an error of a handler end no process

An exception that left a timer callback, a hook of the transport or the handler of an upstream's answer left the event loop and ended the process, and with a timer also all later ones. Class: callbacks that run on the loop without a boundary for errors. Each boundary now logs the error and ends what it concerns: the callback's round, the connection. NodeLoop goes on after any other handler. The tests of the three libraries failed first (one ended its process).

--- a/libraries/mesh/node_loop.cc
+++ b/libraries/mesh/node_loop.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <exception>
 #include <utility>
 
 namespace borageloft::mesh {
@@ -31,7 +32,14 @@
   WaitForSignal();
   timers_.SubscribeEvery(kSettingsCheckInterval, [this](base::TimePoint) { CheckSettingsFile(); });
   ScheduleTimers();
-  context_.run();
+  while (!context_.stopped()) {
+    try {
+      context_.run();
+    } catch (const std::exception& error) {
+      // The work of one handler is lost; all others go on.
+      base::Log(base::LogLevel::kError, "handler_failed", {{"error", error.what()}});
+    }
+  }
 }
 
 void NodeLoop::WaitForSignal() {
--- a/libraries/request_path/upstream_connection.cc
+++ b/libraries/request_path/upstream_connection.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <exception>
 #include <limits>
 #include <utility>
 
@@ -127,10 +128,16 @@
         if (self->is_closed_) {
           return;
         }
-        if (error) {
-          self->HandleEnd(error);
-        } else {
-          self->HandleBytes(count);
+        try {
+          if (error) {
+            self->HandleEnd(error);
+          } else {
+            self->HandleBytes(count);
+          }
+        } catch (const std::exception& failure) {
+          base::Log(base::LogLevel::kError, "upstream_answer_handler_failed",
+                    {{"request", self->request_id_}, {"error", failure.what()}});
+          self->Close();
         }
       });
 }
--- a/libraries/timer/timer_service.cc
+++ b/libraries/timer/timer_service.cc
@@ -1,5 +1,7 @@
 #include "libraries/timer/timer_service.h"
 
+#include <exception>
+
 namespace borageloft::timer {
 
 SubscriptionId TimerService::SubscribeOnce(base::Duration delay, Callback callback) {
@@ -33,7 +35,12 @@
   const base::TimePoint now = clock_();
   std::size_t count = 0;
   while (auto callback = TakeDue(now)) {
-    (*callback)(now);
+    try {
+      (*callback)(now);
+    } catch (const std::exception& error) {
+      // The other subscribers depend on their timers, and on this one at its next time.
+      base::Log(base::LogLevel::kError, "timer_callback_failed", {{"error", error.what()}});
+    }
     ++count;
   }
   return count;
--- a/libraries/transport/connection.cc
+++ b/libraries/transport/connection.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <exception>
 #include <utility>
 
 namespace borageloft::transport {
@@ -208,6 +209,11 @@
               {{"peer", peer_}, {"error", error.what()}});
     Fail("malformed_frame");
     return;
+  } catch (const std::exception& error) {
+    base::Log(base::LogLevel::kError, "peer_frame_handler_failed",
+              {{"peer", peer_}, {"error", error.what()}});
+    Fail("handler_failed");
+    return;
   }
   Read();
 }
--- a/tests/request_path/upstream_pool_test.cc
+++ b/tests/request_path/upstream_pool_test.cc
@@ -190,6 +190,23 @@
   EXPECT_EQ(pool_->counters().connections_opened, 3U);
 }
 
+// Guards against an unexpected error in the handling of one answer that ends the process.
+TEST_F(KeepAliveUpstreamTest, AnErrorOfAHandlerEndsOnlyItsConnection) {
+  const std::string answer = "HTTP/1.1 200 OK\r\nSeal: s\r\nContent-Length: 2\r\n\r\nok";
+  answers_ = {answer, answer};
+  bool was_called = false;
+  wire::Request request;
+  request.method = "GET";
+  request.path = "/a";
+  request.headers = {{"Host", "a"}};
+  pool_->Run(std::move(request), Deadline(), [&](const wire::Response&) {
+    was_called = true;
+    throw std::runtime_error("unexpected");
+  });
+  RunUntil([&] { return was_called; });
+  EXPECT_EQ(Ask("x").body, "ok");
+}
+
 // Guards against bytes without end in a head, in interim responses or in a body, which would fill
 // the node's memory or keep its processor busy until the deadline.
 TEST_F(KeepAliveUpstreamTest, AnAnswerWithoutEndIsCut) {
--- a/tests/timer/timer_service_test.cc
+++ b/tests/timer/timer_service_test.cc
@@ -26,6 +26,21 @@
   EXPECT_EQ(calls, 1);
 }
 
+// Guards against an unexpected error of one subscriber that stops the timers of all others.
+TEST_F(TimerServiceTest, AnErrorOfACallbackConcernsNoOther) {
+  base::ReplaceLogSink([](std::string_view) {});
+  int calls = 0;
+  timers_.SubscribeEvery(milliseconds(10),
+                         [](base::TimePoint) { throw std::runtime_error("unexpected"); });
+  timers_.SubscribeEvery(milliseconds(10), [&](base::TimePoint) { ++calls; });
+  for (int round = 0; round < 2; ++round) {
+    now_ += milliseconds(10);
+    EXPECT_EQ(timers_.RunDue(), 2U);
+  }
+  EXPECT_EQ(calls, 2);
+  base::ReplaceLogSink({});
+}
+
 // Guards against a burst of callbacks after the driver stalled.
 TEST_F(TimerServiceTest, SkipsMissedRounds) {
   int calls = 0;
--- a/tests/transport/peer_transport_test.cc
+++ b/tests/transport/peer_transport_test.cc
@@ -297,6 +297,22 @@
   }
 }
 
+// Guards against an unexpected error in the handling of one peer's message that ends the process.
+TEST(PeerTransportTest, AnErrorOfAHookEndsOnlyItsConnection) {
+  TransportHooks hooks;
+  hooks.handle_control = [](const std::string&, wire::Channel, const std::string&) {
+    throw std::runtime_error("unexpected");
+  };
+  TestNode server("server", hooks);
+  TestNode first("first");
+  TestNode second("second");
+  first.transport().SendControl(server.address(), wire::Channel::kMembership, "x");
+  Call(first, server.address(), "cut");
+  const CallResult result = Call(second, server.address(), "whole");
+  ASSERT_TRUE(std::holds_alternative<wire::Response>(result));
+  EXPECT_EQ(std::get<wire::Response>(result).body, "whole");
+}
+
 // Guards against a caller that waits for its deadline because the answer fits no frame.
 TEST(PeerTransportTest, AnswerThatFitsNoFrameIsReplaced) {
   TransportHooks hooks;
