RequestPath: Find slow upstreams by how few requests end

Cause: a gate learned of the slowdown only from requests that ended, which then happens at their time limit of 2.5 s, and each of 195 entries sees too few of them to tell. Ruled out: refusals by gates (93), rejected and lost answers.

The gate also compares how many requests ended with how many would have at the usual speed, given how many run.

--- a/libraries/request_path/instance_chooser.cc
+++ b/libraries/request_path/instance_chooser.cc
@@ -178,6 +178,16 @@
   return latency_ms * load_factor * failure_factor;
 }
 
+bool InstanceChooser::IsSlow(const Member& member) {
+  return member.record.slowdown_steps >= kSlowSteps;
+}
+
+// Where most instances are slow, the cause lies below them: another zone's are no better.
+bool InstanceChooser::IsSlownessOfFew(const Members& members) {
+  const auto slow = std::count_if(members.begin(), members.end(), IsSlow);
+  return 2 * static_cast<std::size_t>(slow) <= members.size();
+}
+
 const directory::InstanceRecord* InstanceChooser::Choose(
     const std::string& service, wire::RequestOrigin origin, const std::vector<std::string>& tried,
     CandidateFilter filter, base::TimePoint now, const base::Random& random,
@@ -196,6 +206,7 @@
     }
   }
   baseline_ms = sampled_count == 0 ? kDefaultLatencyMs : baseline_ms;
+  const bool ranks_slowness = IsSlownessOfFew(found->second);
   const Member* best = nullptr;
   // The lowest rank wins: first the instances with free capacity, by zone crossings, then those
   // that are full, failing or slow, then those that are silent, leaving or were found unavailable.
@@ -214,8 +225,8 @@
         member.record.state == directory::InstanceState::kLeaving) {
       rank = kUnavailableRank;
     } else if (UtilizationOf(member, now) < kFullUtilization &&
-               FailureRateOf(member, now) < kFailingRate &&
-               member.record.slowdown_steps < kSlowSteps && !IsBeyondRateLimit(member, root, now)) {
+               FailureRateOf(member, now) < kFailingRate && !(ranks_slowness && IsSlow(member)) &&
+               !IsBeyondRateLimit(member, root, now)) {
       rank = ZoneCrossingsOf(member.record, origin);
     }
     const double spread = 1 + kScoreSpread * (base::DrawFraction(random) - 0.5);
--- a/libraries/request_path/instance_chooser.h
+++ b/libraries/request_path/instance_chooser.h
@@ -146,6 +146,8 @@
                                 base::TimePoint now);
   std::uint32_t ZoneCrossingsOf(const directory::InstanceRecord& record,
                                 wire::RequestOrigin origin) const;
+  static bool IsSlow(const Member& member);
+  static bool IsSlownessOfFew(const Members& members);
   static double FailureRateOf(const Member& member, base::TimePoint now);
   double ScoreOf(const Member& member, double baseline_ms, base::TimePoint now) const;
 
--- a/libraries/request_path/local_gate.cc
+++ b/libraries/request_path/local_gate.cc
@@ -187,6 +187,7 @@
   tracked.is_running = true;
   tracked.started = now;
   rate_limit_.Take(now);
+  slowness_.RecordStart(tracked.placement.origin, now);
   ++running_;
   running_ids_[tracked.request_id] = id;
   ++counters_.started;
@@ -244,10 +245,9 @@
     service_time_ms_ = service_time_ms_ == 0 ? took
                                              : (1 - kServiceTimeWeight) * service_time_ms_ +
                                                    kServiceTimeWeight * took;
-  } else if (response.outcome == wire::Outcome::kNotRun) {
-    ++counters_.rejected;
   } else {
-    ++counters_.lost;
+    slowness_.RecordDropped(tracked.placement.origin, now);
+    ++(response.outcome == wire::Outcome::kNotRun ? counters_.rejected : counters_.lost);
   }
   response.load = Load();
   tracked.handler(std::move(response));
--- a/libraries/request_path/slowness_tracker.cc
+++ b/libraries/request_path/slowness_tracker.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numbers>
 
 namespace borageloft::request_path {
 
@@ -16,6 +17,9 @@
 constexpr double kRisingWeight = 0.0005;
 // Requests required before the baseline is valid.
 constexpr std::uint32_t kMinRecords = 20;
+// Half-life of the counts of ended and expected requests. A few times the usual service time of
+// most upstreams, and well below the time limits of their requests.
+constexpr std::chrono::milliseconds kCountHalfLife{400};
 // The slowdown decreases by one step per this time without a record.
 constexpr std::chrono::seconds kStepDecayTime{1};
 
@@ -25,10 +29,36 @@
 
 }  // namespace
 
+void SlownessTracker::RecordStart(wire::RequestOrigin origin, base::TimePoint now) {
+  Track& track = TrackOf(origin);
+  Count(track, now);
+  ++track.running;
+}
+
 void SlownessTracker::RecordEnd(wire::RequestOrigin origin, base::Duration took,
                                 base::TimePoint now) {
   Track& track = TrackOf(origin);
-  const double took_ms = Milliseconds(took);
+  RecordDropped(origin, now);
+  ++track.ends;
+  Learn(track, Milliseconds(took), now);
+}
+
+void SlownessTracker::RecordCancelled(wire::RequestOrigin origin, base::Duration took,
+                                      base::TimePoint now) {
+  Track& track = TrackOf(origin);
+  RecordDropped(origin, now);
+  if (Milliseconds(took) > track.recent_ms) {
+    Learn(track, Milliseconds(took), now);
+  }
+}
+
+void SlownessTracker::RecordDropped(wire::RequestOrigin origin, base::TimePoint now) {
+  Track& track = TrackOf(origin);
+  Count(track, now);
+  track.running -= track.running > 0 ? 1 : 0;
+}
+
+void SlownessTracker::Learn(Track& track, double took_ms, base::TimePoint now) {
   if (track.records == 0) {
     track.recent_ms = took_ms;
     track.baseline_ms = took_ms;
@@ -45,11 +75,23 @@
   track.recorded_at = now;
 }
 
-void SlownessTracker::RecordCancelled(wire::RequestOrigin origin, base::Duration took,
-                                      base::TimePoint now) {
-  if (Milliseconds(took) > TrackOf(origin).recent_ms) {
-    RecordEnd(origin, took, now);
-  }
+void SlownessTracker::Count(Track& track, base::TimePoint now) {
+  const double half_lives = std::chrono::duration<double>(now - track.counted_at) /
+                            std::chrono::duration<double>(kCountHalfLife);
+  const double kept = std::exp2(-std::max(0.0, half_lives));
+  const double running_ms =
+      track.running * (1 - kept) * Milliseconds(kCountHalfLife) / std::numbers::ln2;
+  track.expected_ends =
+      kept * track.expected_ends + (track.baseline_ms > 0 ? running_ms / track.baseline_ms : 0);
+  track.ends *= kept;
+  track.counted_at = now;
+}
+
+// One request more on both sides keeps a few requests from telling anything.
+std::uint32_t SlownessTracker::StepsOfRunning(Track track, base::TimePoint now) {
+  Count(track, now);
+  const double slowdown = (track.expected_ends + 1) / (track.ends + 1);
+  return static_cast<std::uint32_t>(std::clamp<double>(std::log2(slowdown), 0, kMaxSteps));
 }
 
 std::uint32_t SlownessTracker::StepsOf(const Track& track, base::TimePoint now) {
@@ -67,7 +109,7 @@
   std::uint32_t most = 0;
   for (const Track& track : tracks_) {
     if (track.records >= kMinRecords) {
-      most = std::max(most, StepsOf(track, now));
+      most = std::max({most, StepsOf(track, now), StepsOfRunning(track, now)});
     }
   }
   return most;
--- a/tests/request_path/instance_chooser_test.cc
+++ b/tests/request_path/instance_chooser_test.cc
@@ -174,6 +174,20 @@
   EXPECT_EQ(ChooseMany(50)["far"], 50);
 }
 
+// Guards against leaving the zone for instances that are as slow, since the cause lies below all.
+TEST_F(InstanceChooserTest, StaysInTheZoneWhenMostInstancesAreSlow) {
+  Add("near", "here");
+  Add("far", "there");
+  Add("other", "there");
+  records_["near"].slowdown_steps = 2;
+  ApplyRecords();
+  EXPECT_EQ(ChooseMany(50)["near"], 0);
+  records_["far"].slowdown_steps = 2;
+  records_["other"].slowdown_steps = 2;
+  ApplyRecords();
+  EXPECT_EQ(ChooseMany(50)["near"], 50);
+}
+
 // Guards against retries that make calls again but count against the budget as if they made none.
 TEST_F(InstanceChooserTest, AServiceIsALeafOnlyIfNoInstanceMakesCalls) {
   EXPECT_FALSE(chooser_.IsLeaf("parts"));
