RequestPath: Expect only requests to end that have run for a while

Cause: a burst of requests that have just started counted as overdue. Requests count from a quarter of the usual time on. ABurstIsNoSlowdown guards it. Also formats one file.

--- a/libraries/request_path/local_gate.cc
+++ b/libraries/request_path/local_gate.cc
@@ -246,7 +246,7 @@
                                              : (1 - kServiceTimeWeight) * service_time_ms_ +
                                                    kServiceTimeWeight * took;
   } else {
-    slowness_.RecordDropped(tracked.placement.origin, now);
+    slowness_.RecordDropped(tracked.placement.origin, now - tracked.started, now);
     ++(response.outcome == wire::Outcome::kNotRun ? counters_.rejected : counters_.lost);
   }
   response.load = Load();
--- a/libraries/request_path/slowness_tracker.cc
+++ b/libraries/request_path/slowness_tracker.cc
@@ -20,6 +20,8 @@
 // Half-life of the counts of ended and expected requests. A few times the usual service time of
 // most upstreams, and well below the time limits of their requests.
 constexpr std::chrono::milliseconds kCountHalfLife{400};
+// Share of the usual time after which a request that still runs is expected to end.
+constexpr double kDueFactor = 0.25;
 // The slowdown decreases by one step per this time without a record.
 constexpr std::chrono::seconds kStepDecayTime{1};
 
@@ -32,13 +34,13 @@
 void SlownessTracker::RecordStart(wire::RequestOrigin origin, base::TimePoint now) {
   Track& track = TrackOf(origin);
   Count(track, now);
-  ++track.running;
+  track.running.insert(now);
 }
 
 void SlownessTracker::RecordEnd(wire::RequestOrigin origin, base::Duration took,
                                 base::TimePoint now) {
   Track& track = TrackOf(origin);
-  RecordDropped(origin, now);
+  RecordDropped(origin, took, now);
   ++track.ends;
   Learn(track, Milliseconds(took), now);
 }
@@ -46,16 +48,19 @@
 void SlownessTracker::RecordCancelled(wire::RequestOrigin origin, base::Duration took,
                                       base::TimePoint now) {
   Track& track = TrackOf(origin);
-  RecordDropped(origin, now);
+  RecordDropped(origin, took, now);
   if (Milliseconds(took) > track.recent_ms) {
     Learn(track, Milliseconds(took), now);
   }
 }
 
-void SlownessTracker::RecordDropped(wire::RequestOrigin origin, base::TimePoint now) {
+void SlownessTracker::RecordDropped(wire::RequestOrigin origin, base::Duration took,
+                                    base::TimePoint now) {
   Track& track = TrackOf(origin);
   Count(track, now);
-  track.running -= track.running > 0 ? 1 : 0;
+  if (const auto started = track.running.find(now - took); started != track.running.end()) {
+    track.running.erase(started);
+  }
 }
 
 void SlownessTracker::Learn(Track& track, double took_ms, base::TimePoint now) {
@@ -79,14 +84,23 @@
   const double half_lives = std::chrono::duration<double>(now - track.counted_at) /
                             std::chrono::duration<double>(kCountHalfLife);
   const double kept = std::exp2(-std::max(0.0, half_lives));
-  const double running_ms =
-      track.running * (1 - kept) * Milliseconds(kCountHalfLife) / std::numbers::ln2;
+  const double running_ms = static_cast<double>(CountDue(track, now)) * (1 - kept) *
+                            Milliseconds(kCountHalfLife) / std::numbers::ln2;
   track.expected_ends =
       kept * track.expected_ends + (track.baseline_ms > 0 ? running_ms / track.baseline_ms : 0);
   track.ends *= kept;
   track.counted_at = now;
 }
 
+// Requests that have only just started cannot be expected to have ended. They would make
+// a burst look like a slowdown.
+std::size_t SlownessTracker::CountDue(const Track& track, base::TimePoint now) {
+  const auto usual = std::chrono::duration_cast<base::Duration>(
+      std::chrono::duration<double, std::milli>(kDueFactor * track.baseline_ms));
+  return static_cast<std::size_t>(
+      std::distance(track.running.begin(), track.running.lower_bound(now - usual)));
+}
+
 // One request more on both sides keeps a few requests from telling anything.
 std::uint32_t SlownessTracker::StepsOfRunning(Track track, base::TimePoint now) {
   Count(track, now);
--- a/libraries/request_path/slowness_tracker.h
+++ b/libraries/request_path/slowness_tracker.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <cstdint>
+#include <set>
 
 #include "libraries/base/base.h"
 #include "libraries/wire/wire.h"
@@ -17,7 +18,7 @@
  * The load that this answers: some upstreams of a service become many times slower at once. Their
  * requests then end only at their time limit, so the times of ended requests tell of the slowdown
  * seconds too late. The tracker therefore also compares how many requests ended with how many would
- * have at the usual speed, given how many are running. Not thread-safe.
+ * have at the usual speed, given how many have run for longer than usual. Not thread-safe.
  */
 class SlownessTracker {
  public:
@@ -31,7 +32,7 @@
   void RecordCancelled(wire::RequestOrigin origin, base::Duration took, base::TimePoint now);
 
   /** Records that a request ended without an answer of the upstream that tells its speed. */
-  void RecordDropped(wire::RequestOrigin origin, base::TimePoint now);
+  void RecordDropped(wire::RequestOrigin origin, base::Duration took, base::TimePoint now);
 
   /**
    * @return Slowdown in powers of two, 0 to kMaxSteps. Decreases by one for each second without a
@@ -48,7 +49,7 @@
         0;  // Usual service time; follows `recent_ms` quickly downwards and slowly upwards.
     std::uint32_t records = 0;
     base::TimePoint recorded_at{};
-    std::uint32_t running = 0;
+    std::multiset<base::TimePoint> running;  // When the requests that run were started.
     // Requests that would have ended lately at the usual speed, and those that did. Both fade.
     double expected_ends = 0;
     double ends = 0;
@@ -59,6 +60,7 @@
   static void Count(Track& track, base::TimePoint now);
   static std::uint32_t StepsOf(const Track& track, base::TimePoint now);
   static std::uint32_t StepsOfRunning(Track track, base::TimePoint now);
+  static std::size_t CountDue(const Track& track, base::TimePoint now);
   Track& TrackOf(wire::RequestOrigin origin) {
     return tracks_[origin == wire::RequestOrigin::kUpstream ? 1 : 0];
   }
--- a/libraries/transport/connection.cc
+++ b/libraries/transport/connection.cc
@@ -380,8 +380,7 @@
 
 void Connection::SendHello() {
   const wire::Hello hello{wire::kProtocolVersion, options_.node, options_.incarnation, generation_};
-  writing_.push_back(
-      {wire::EncodeFrame(hello, options_.frame_bytes), TrafficKind::kHandshake, 0});
+  writing_.push_back({wire::EncodeFrame(hello, options_.frame_bytes), TrafficKind::kHandshake, 0});
   queued_bytes_ += writing_.back().bytes.size();
   CountBatch(1);
   WriteBatch();
--- a/tests/request_path/slowness_tracker_test.cc
+++ b/tests/request_path/slowness_tracker_test.cc
@@ -58,6 +58,35 @@
   EXPECT_EQ(tracker_.Steps(now_), 0U);
 }
 
+// Guards against learning of a slowdown only when requests end at their time limit.
+TEST_F(SlownessTrackerTest, ReportsASlowdownBeforeAnyRequestEnds) {
+  for (int i = 0; i < 200; ++i) {
+    tracker_.RecordStart(RequestOrigin::kCaller, now_);
+    now_ += milliseconds(10);
+    if (i >= 10) {
+      tracker_.RecordEnd(RequestOrigin::kCaller, milliseconds(100), now_);
+    }
+    EXPECT_EQ(tracker_.Steps(now_), 0U) << i;
+  }
+  for (int i = 0; i < 80; ++i) {
+    tracker_.RecordStart(RequestOrigin::kCaller, now_);
+    now_ += milliseconds(10);
+  }
+  EXPECT_GE(tracker_.Steps(now_), 2U);
+}
+
+// Guards against taking requests that have all just started for slow ones.
+TEST_F(SlownessTrackerTest, ABurstIsNoSlowdown) {
+  End(100, milliseconds(100));
+  for (int i = 0; i < 40; ++i) {
+    tracker_.RecordStart(RequestOrigin::kCaller, now_);
+  }
+  for (int i = 0; i < 15; ++i) {
+    now_ += milliseconds(10);
+    EXPECT_EQ(tracker_.Steps(now_), 0U) << i;
+  }
+}
+
 // Guards against reporting a change of the request mix as a slowdown.
 TEST_F(SlownessTrackerTest, TracksCallersAndCallsSeparately) {
   End(100, milliseconds(15), RequestOrigin::kUpstream);
