--- /dev/null
+++ b/review/stand_ins/http.cc
@@ -0,0 +1,236 @@
+#include "review/stand_ins/http.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <set>
+#include <sstream>
+
+namespace borageloft::review {
+
+namespace {
+
+using asio::ip::tcp;
+
+bool EqualsIgnoreCase(const std::string& left, const std::string& right) {
+  return std::equal(left.begin(), left.end(), right.begin(), right.end(),
+                    [](unsigned char a, unsigned char b) { return tolower(a) == tolower(b); });
+}
+
+/** Takes a complete message with a Content-Length from the start of @p bytes, if there is one. */
+std::optional<Message> TakeMessage(std::string& bytes) {
+  const std::size_t end = bytes.find("\r\n\r\n");
+  if (end == std::string::npos) {
+    return std::nullopt;
+  }
+  Message message;
+  std::istringstream lines(bytes.substr(0, end));
+  std::string line;
+  std::getline(lines, line);
+  std::istringstream start(line);
+  std::string first;
+  start >> first >> message.target;
+  if (first.starts_with("HTTP/")) {
+    message.status = std::stoi(message.target);
+  } else {
+    message.method = first;
+  }
+  while (std::getline(lines, line)) {
+    if (!line.empty() && line.back() == '\r') {
+      line.pop_back();
+    }
+    const std::size_t colon = line.find(':');
+    const std::size_t value = line.find_first_not_of(' ', colon + 1);
+    message.fields.emplace_back(line.substr(0, colon),
+                                value == std::string::npos ? "" : line.substr(value));
+  }
+  const std::string length = message.Field("Content-Length");
+  const std::size_t size = length.empty() ? 0 : std::stoul(length);
+  if (bytes.size() < end + 4 + size) {
+    return std::nullopt;
+  }
+  message.body = bytes.substr(end + 4, size);
+  bytes.erase(0, end + 4 + size);
+  return message;
+}
+
+std::string Serialize(const Message& message) {
+  std::string bytes = message.status > 0
+                          ? "HTTP/1.1 " + std::to_string(message.status) + " Status\r\n"
+                          : message.method + " " + message.target + " HTTP/1.1\r\n";
+  for (const auto& [name, value] : message.fields) {
+    bytes += name + ": " + value + "\r\n";
+  }
+  return bytes + "Content-Length: " + std::to_string(message.body.size()) + "\r\n\r\n" +
+         message.body;
+}
+
+struct Call : std::enable_shared_from_this<Call> {
+  explicit Call(asio::io_context& context) : socket(context), timer(context) {}
+
+  void Finish(const std::optional<Message>& answer) {
+    if (!handler) {
+      return;
+    }
+    const AnswerHandler done = std::exchange(handler, nullptr);
+    asio::error_code ignored;
+    timer.cancel();
+    socket.close(ignored);
+    done(answer);
+  }
+
+  void Read() {
+    socket.async_read_some(
+        asio::buffer(buffer),
+        [self = shared_from_this()](const asio::error_code& error, std::size_t size) {
+          if (error) {
+            self->Finish(std::nullopt);
+            return;
+          }
+          self->input.append(self->buffer.data(), size);
+          if (const auto answer = TakeMessage(self->input)) {
+            self->Finish(answer);
+          } else {
+            self->Read();
+          }
+        });
+  }
+
+  tcp::socket socket;
+  asio::steady_timer timer;
+  std::array<char, 16384> buffer{};
+  std::string input;
+  std::string output;
+  AnswerHandler handler;
+};
+
+}  // namespace
+
+std::string Message::Field(const std::string& name) const {
+  for (const auto& [key, value] : fields) {
+    if (EqualsIgnoreCase(key, name)) {
+      return value;
+    }
+  }
+  return "";
+}
+
+void Send(asio::io_context& context, const tcp::endpoint& target, const Message& request,
+          std::chrono::milliseconds limit, AnswerHandler handler) {
+  const auto call = std::make_shared<Call>(context);
+  call->handler = std::move(handler);
+  call->output = Serialize(request);
+  call->timer.expires_after(limit);
+  call->timer.async_wait([call](const asio::error_code& error) {
+    if (!error) {
+      call->Finish(std::nullopt);
+    }
+  });
+  call->socket.async_connect(target, [call](const asio::error_code& error) {
+    if (error) {
+      call->Finish(std::nullopt);
+      return;
+    }
+    asio::async_write(call->socket, asio::buffer(call->output),
+                      [call](const asio::error_code& failed, std::size_t) {
+                        if (failed) {
+                          call->Finish(std::nullopt);
+                        } else {
+                          call->Read();
+                        }
+                      });
+  });
+}
+
+struct Server::State : std::enable_shared_from_this<Server::State> {
+  struct Connection : Exchange, std::enable_shared_from_this<Connection> {
+    Connection(tcp::socket accepted, std::shared_ptr<State> state)
+        : socket(std::move(accepted)), server(std::move(state)) {}
+
+    void Read() {
+      socket.async_read_some(
+          asio::buffer(buffer),
+          [self = shared_from_this()](const asio::error_code& error, std::size_t size) {
+            if (error) {
+              self->Close();
+              return;
+            }
+            self->input.append(self->buffer.data(), size);
+            self->TakeNext();
+            self->Read();
+          });
+    }
+
+    void TakeNext() {
+      if (is_busy || !socket.is_open()) {
+        return;
+      }
+      if (const auto request = TakeMessage(input)) {
+        is_busy = true;
+        server->handler(*request, shared_from_this());
+      }
+    }
+
+    void Respond(const Message& response) override {
+      output = Serialize(response);
+      asio::async_write(socket, asio::buffer(output),
+                        [self = shared_from_this()](const asio::error_code& error, std::size_t) {
+                          self->is_busy = false;
+                          if (!error) {
+                            self->TakeNext();
+                          }
+                        });
+    }
+
+    bool is_open() const override { return socket.is_open(); }
+
+    void Close() {
+      asio::error_code ignored;
+      socket.close(ignored);
+      server->connections.erase(shared_from_this());
+    }
+
+    tcp::socket socket;
+    std::shared_ptr<State> server;
+    std::array<char, 16384> buffer{};
+    std::string input;
+    std::string output;
+    bool is_busy = false;
+  };
+
+  State(asio::io_context& context, const tcp::endpoint& address, RequestHandler request_handler)
+      : acceptor(context, address), handler(std::move(request_handler)) {}
+
+  void Accept() {
+    acceptor.async_accept(
+        [self = shared_from_this()](const asio::error_code& error, tcp::socket socket) {
+          if (error) {
+            return;
+          }
+          const auto connection = std::make_shared<Connection>(std::move(socket), self);
+          self->connections.insert(connection);
+          connection->Read();
+          self->Accept();
+        });
+  }
+
+  tcp::acceptor acceptor;
+  RequestHandler handler;
+  std::set<std::shared_ptr<Connection>> connections;
+};
+
+Server::Server(asio::io_context& context, const tcp::endpoint& address, RequestHandler handler)
+    : state_(std::make_shared<State>(context, address, std::move(handler))) {
+  state_->Accept();
+}
+
+Server::~Server() {
+  asio::error_code ignored;
+  state_->acceptor.close(ignored);
+  const auto connections = state_->connections;
+  for (const auto& connection : connections) {
+    connection->Close();
+  }
+}
+
+}  // namespace borageloft::review
