Review: Show that many changes of a large configuration end the control group

Cause: the control hosts keep up to 512 whole configurations in memory before they compact their log.

--- a/review/stand_ins/case.cc
+++ b/review/stand_ins/case.cc
@@ -5,6 +5,18 @@
 
 namespace borageloft::review {
 
+namespace {
+
+/** Returns a configuration up to its list of hosts. */
+std::string Head(std::uint64_t version, const std::string& service) {
+  return R"({"version":"r)" + std::to_string(version) + R"(","services":[{"name":")" + service +
+         R"(","health_path":"/health","max_conns":500,"protocol":"h1","tls":false}],)" +
+         R"("limits":{"max_header_bytes":16384,"max_body_bytes":67108864,)" +
+         R"("header_timeout_ms":3000,"idle_timeout_ms":15000},"hosts":[)";
+}
+
+}  // namespace
+
 int RunCase(int argument_count, char** arguments,
             const std::function<Verdict(const CaseInput& input)>& body) {
   if (argument_count < 2) {
@@ -33,14 +45,23 @@
   const std::string common = R"("timeout_ms":)" + std::to_string(timeout.count()) +
                              R"(,"target_latency_ms":1500,"service":")" + service +
                              R"(","attempts":2})";
-  return R"({"version":"r)" + std::to_string(version) + R"(","services":[{"name":")" + service +
-         R"(","health_path":"/health","max_conns":500,"protocol":"h1","tls":false}],)"
-         R"("limits":{"max_header_bytes":16384,"max_body_bytes":67108864,)"
-         R"("header_timeout_ms":3000,"idle_timeout_ms":15000},)"
-         R"("hosts":[{"host":"shop.example","paths":[)"
-         R"({"name":"safe","path_prefix":"/safe/","kind":"safe","priority":1,)" +
-         common + R"(,{"name":"once","path_prefix":"/once/","kind":"unsafe","priority":0,)" +
-         common + "]}]}";
+  return Head(version, service) + R"({"host":"shop.example","paths":[)" +
+         R"({"name":"safe","path_prefix":"/safe/","kind":"safe","priority":1,)" + common +
+         R"(,{"name":"once","path_prefix":"/once/","kind":"unsafe","priority":0,)" + common +
+         "]}]}";
+}
+
+std::string MakeLargeConfiguration(std::uint64_t version, const std::string& service,
+                                   std::size_t routes) {
+  std::string text = Head(version, service);
+  for (std::size_t i = 0; i < routes; ++i) {
+    const std::string number = std::to_string(100000 + i);
+    text += (i > 0 ? "," : "") + (R"({"host":"ho)" + number) +
+            R"(.example","paths":[{"name":"r-n)" + number + R"(","path_prefix":"/p)" + number +
+            R"(/","kind":"safe","timeout_ms":1000,"target_latency_ms":1500,"priority":2,)" +
+            R"("service":")" + service + R"(","attempts":2}]})";
+  }
+  return text + "]}";
 }
 
 }  // namespace borageloft::review
--- a/review/stand_ins/case.h
+++ b/review/stand_ins/case.h
@@ -37,6 +37,15 @@
 std::string MakeConfiguration(std::uint64_t version, const std::string& service,
                               std::chrono::milliseconds timeout);
 
+/**
+ * @param version Version of the configuration.
+ * @param service Service of all routes.
+ * @param routes Number of routes, each of a host of its own.
+ * @return A configuration with many routes.
+ */
+std::string MakeLargeConfiguration(std::uint64_t version, const std::string& service,
+                                   std::size_t routes);
+
 }  // namespace borageloft::review
 
 #endif  // BORAGELOFT_REVIEW_STAND_INS_CASE_H_
--- a/review/stand_ins/deployment.cc
+++ b/review/stand_ins/deployment.cc
@@ -77,6 +77,19 @@
   }
 }
 
+std::size_t Machine::MemoryKib() const {
+  std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+  std::string key;
+  while (pid_ > 0 && status >> key) {
+    if (key == "RssAnon:") {
+      std::size_t kib = 0;
+      status >> kib;
+      return kib;
+    }
+  }
+  return 0;
+}
+
 Deployment::Deployment(asio::io_context& context, Record& record,
                        const std::vector<std::string>& services)
     : context_(context), record_(record) {
@@ -232,7 +245,8 @@
   }
   request.body = body;
   while (Clock::now() < end) {
-    tcp::endpoint target = controls_[next_control_++ % controls_.size()]->At(ports_.control);
+    // The operator stays with a machine while that one answers.
+    tcp::endpoint target = controls_[next_control_ % controls_.size()]->At(ports_.control);
     for (int hop = 0; hop <= 2; ++hop) {
       std::optional<Message> answer;
       bool has_ended = false;
@@ -262,13 +276,23 @@
       if (answered_by != nullptr) {
         *answered_by = target.address().to_string();
       }
+      StayWith(target);
       return *answer;
     }
+    ++next_control_;
     RunFor(kPause);
   }
   return {};
 }
 
+void Deployment::StayWith(const tcp::endpoint& target) {
+  for (std::size_t i = 0; i < controls_.size(); ++i) {
+    if (controls_[i]->At(ports_.control) == target) {
+      next_control_ = i;
+    }
+  }
+}
+
 int Deployment::Put(std::uint64_t base, const std::string& text, milliseconds limit) {
   const Message answer =
       Call("config.put", "r" + std::to_string(base), text, Clock::now() + limit, nullptr);
--- a/review/stand_ins/deployment.h
+++ b/review/stand_ins/deployment.h
@@ -67,6 +67,8 @@
   void Signal(int signal) const;
   /** Kills the process and waits for its end. */
   void Kill();
+  /** @return Anonymous memory of the process in KiB; 0 if none runs. */
+  std::size_t MemoryKib() const;
 
  private:
   friend class Deployment;
@@ -139,6 +141,8 @@
   Message Call(const std::string& call, const std::string& base, const std::string& body,
                std::chrono::steady_clock::time_point end, std::string* answered_by);
 
+  void StayWith(const asio::ip::tcp::endpoint& target);
+
   asio::io_context& context_;
   Record& record_;
   std::string folder_;
