Review: Show that a burst of long bodies ends nodes

Cause: a node counts the bytes of request bodies only once a body was read whole, and doesn't count the copies that it makes for an attempt, so that 28 callers with bodies within all limits exceed its memory.

--- a/review/stand_ins/deployment.cc
+++ b/review/stand_ins/deployment.cc
@@ -19,6 +19,7 @@
 using std::chrono::milliseconds;
 
 constexpr const char* kProgram = "target/services/borageloftd/borageloftd";
+constexpr const char* kProgramName = "borageloftd";
 constexpr int kControls = 5;
 constexpr int kSeeds = 3;
 constexpr int kZones = 3;
@@ -80,7 +81,10 @@
 std::size_t Machine::MemoryKib() const {
   std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
   std::string key;
-  while (pid_ > 0 && status >> key) {
+  std::string program;
+  status >> key >> program;
+  // Until its program is loaded, the new process is a copy of this one.
+  while (program == kProgramName && status >> key) {
     if (key == "RssAnon:") {
       std::size_t kib = 0;
       status >> kib;
--- a/review/stand_ins/http.cc
+++ b/review/stand_ins/http.cc
@@ -142,6 +142,96 @@
   });
 }
 
+struct KeptConnection::State : std::enable_shared_from_this<State> {
+  explicit State(asio::io_context& context) : socket(context) {}
+
+  void End() {
+    has_ended = true;
+    asio::error_code ignored;
+    socket.close(ignored);
+    if (const AnswerHandler done = std::exchange(handler, nullptr)) {
+      done(std::nullopt);
+    }
+  }
+
+  void Write() {
+    if (!is_connected || output.empty()) {
+      return;
+    }
+    sent = std::exchange(output, {});
+    asio::async_write(socket, asio::buffer(sent),
+                      [self = shared_from_this()](const asio::error_code& error, std::size_t) {
+                        if (error && !self->has_ended) {
+                          self->End();
+                        }
+                      });
+  }
+
+  void Read() {
+    socket.async_read_some(
+        asio::buffer(buffer),
+        [self = shared_from_this()](const asio::error_code& error, std::size_t size) {
+          if (self->has_ended) {
+            return;
+          }
+          if (error) {
+            self->End();
+            return;
+          }
+          self->input.append(self->buffer.data(), size);
+          if (const auto answer = TakeMessage(self->input)) {
+            ++self->answers;
+            if (const AnswerHandler done = std::exchange(self->handler, nullptr)) {
+              done(answer);
+            }
+            if (EqualsIgnoreCase(answer->Field("Connection"), "close")) {
+              self->End();
+              return;
+            }
+          }
+          self->Read();
+        });
+  }
+
+  tcp::socket socket;
+  std::array<char, 16384> buffer{};
+  std::string input;
+  std::string output;
+  std::string sent;
+  AnswerHandler handler;
+  int answers = 0;
+  bool is_connected = false;
+  bool has_ended = false;
+};
+
+KeptConnection::KeptConnection(asio::io_context& context, const tcp::endpoint& target)
+    : state_(std::make_shared<State>(context)) {
+  state_->socket.async_connect(target, [state = state_](const asio::error_code& error) {
+    if (error) {
+      state->End();
+      return;
+    }
+    state->is_connected = true;
+    state->Write();
+    state->Read();
+  });
+}
+
+KeptConnection::~KeptConnection() {
+  state_->handler = nullptr;
+  state_->End();
+}
+
+void KeptConnection::Send(const Message& request, AnswerHandler handler) {
+  state_->handler = std::move(handler);
+  state_->output = Serialize(request);
+  state_->Write();
+}
+
+int KeptConnection::answers() const { return state_->answers; }
+
+bool KeptConnection::has_ended() const { return state_->has_ended; }
+
 struct Server::State : std::enable_shared_from_this<Server::State> {
   struct Connection : Exchange, std::enable_shared_from_this<Connection> {
     Connection(tcp::socket accepted, std::shared_ptr<State> state)
--- a/review/stand_ins/http.h
+++ b/review/stand_ins/http.h
@@ -38,6 +38,36 @@
 void Send(asio::io_context& context, const asio::ip::tcp::endpoint& target, const Message& request,
           std::chrono::milliseconds limit, AnswerHandler handler);
 
+/** A connection of a client that carries one request after the other. */
+class KeptConnection {
+ public:
+  /**
+   * @param context Event loop.
+   * @param target Address of the server.
+   */
+  KeptConnection(asio::io_context& context, const asio::ip::tcp::endpoint& target);
+  ~KeptConnection();
+
+  KeptConnection(const KeptConnection&) = delete;
+  KeptConnection& operator=(const KeptConnection&) = delete;
+
+  /**
+   * Sends a request. No other may be in progress.
+   * @param request Sent with a Content-Length.
+   * @param handler Called once, unless this connection is destroyed first: with nothing if the
+   *     connection ends without a complete answer.
+   */
+  void Send(const Message& request, AnswerHandler handler);
+  /** @return Number of answers received. */
+  int answers() const;
+  /** @return Whether the connection has ended. */
+  bool has_ended() const;
+
+ private:
+  struct State;
+  std::shared_ptr<State> state_;
+};
+
 /** A request that a server has received, with the means to answer it. */
 class Exchange {
  public:
