Review: Show that a restarted node takes a left backend in use

Cause: the acknowledgement of a leave is kept only in the memory of the node beside the backend; after a restart a heartbeat sent before the leave makes the backend serve again. Change: review/5 with a script.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Runs the case; TROUBLE=0 leaves out the disruption. Exit status: 1 broken, 0 held, 2 cannot run.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/review/case-5 ] || exit 2
+timeout -s TERM 118 target/review/case-5 review/5
+status=$?
+[ "$status" -le 1 ] || exit 2
+exit "$status"
