--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -2,4 +2,7 @@
 # Runs the case; TROUBLE=0 leaves out the disruption. Exit status: 1 broken, 0 held, 2 cannot run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/case-1 ] || exit 2
-exec timeout -s TERM 118 target/review/case-1 review/1
+timeout -s TERM 118 target/review/case-1 review/1
+status=$?
+[ "$status" -le 1 ] || exit 2
+exit "$status"
