--- a/review/stand_ins/backend.cc
+++ b/review/stand_ins/backend.cc
@@ -124,6 +124,7 @@
       [this, timer, run, response, exchange, alive = is_alive_](const asio::error_code&) {
         if (*alive && exchange->is_open()) {
           run->second.has_ended = true;
+          record_.Write("request " + run->first + " ends at " + id_);
           exchange->Respond(response);
         }
       });
--- a/review/stand_ins/deployment.cc
+++ b/review/stand_ins/deployment.cc
@@ -263,6 +263,8 @@
         has_ended = true;
       });
       RunUntil([&] { return has_ended; }, kAttemptLimit + milliseconds(500));
+      record_.Write(call + " is sent to " + target.address().to_string() + ": status " +
+                    std::to_string(answer ? answer->status : 0));
       if (!answer) {
         break;
       }
--- a/review/stand_ins/deployment.h
+++ b/review/stand_ins/deployment.h
@@ -57,13 +57,19 @@
   const std::string& ip() const { return ip_; }
   const std::string& zone() const { return zone_; }
   const std::string& service() const { return service_; }
-  /** @return Address of a port of this machine. */
+  /**
+   * @param port Port on this machine.
+   * @return Its address.
+   */
   asio::ip::tcp::endpoint At(std::uint16_t port) const {
     return {asio::ip::make_address(ip_), port};
   }
   /** @return Whether the process runs. */
   bool IsRunning();
-  /** Sends a signal to the process. */
+  /**
+   * Sends a signal to the process.
+   * @param signal Number of the signal.
+   */
   void Signal(int signal) const;
   /** Kills the process and waits for its end. */
   void Kill();
@@ -103,15 +109,26 @@
 
   /** Starts all processes, as the platform does at the first start. */
   void StartAll();
-  /** Starts the process of a machine with settings written anew. */
+  /**
+   * Starts the process of a machine with settings written anew.
+   * @param machine Machine whose process is started.
+   */
   void Start(Machine& machine);
-  /** Empties the disk of a machine whose process does not run. */
+  /**
+   * Empties the disk of a machine whose process does not run.
+   * @param machine A control machine.
+   */
   void LoseDisk(Machine& machine);
 
-  /** Runs the event loop for a time. */
+  /**
+   * Runs the event loop for a time.
+   * @param time How long.
+   */
   void RunFor(std::chrono::milliseconds time);
   /**
    * Runs the event loop until a condition holds.
+   * @param condition Asked every few milliseconds.
+   * @param limit Longest time.
    * @return Whether it held within the time.
    */
   bool RunUntil(const std::function<bool()>& condition, std::chrono::milliseconds limit);
@@ -119,15 +136,22 @@
   /**
    * Sends a configuration until it is acknowledged or the time is over, as the operator does: to
    * any control machine, following up to two redirects, with pauses.
+   * @param base Version that the configuration builds on.
+   * @param text The configuration.
+   * @param limit Time after which no further attempt begins.
    * @return Status of the final answer; 0 if there is none.
    */
   int Put(std::uint64_t base, const std::string& text, std::chrono::milliseconds limit);
   /**
    * Reads the configuration until a 200 comes or the time is over.
+   * @param limit Time after which no further attempt begins.
    * @return The configuration, or an empty text.
    */
   std::string Get(std::chrono::milliseconds limit);
-  /** @return The control machine to which the others redirect the operator, or null. */
+  /**
+   * @param limit Time after which no further attempt begins.
+   * @return The control machine to which the others redirect the operator, or null.
+   */
   Machine* FindLeader(std::chrono::milliseconds limit);
 
   std::vector<std::unique_ptr<Machine>>& controls() { return controls_; }
--- a/review/stand_ins/http.cc
+++ b/review/stand_ins/http.cc
@@ -65,8 +65,11 @@
          message.body;
 }
 
+// Time between two writes of a request that is sent at a bounded rate.
+constexpr std::chrono::milliseconds kWriteInterval{10};
+
 struct Call : std::enable_shared_from_this<Call> {
-  explicit Call(asio::io_context& context) : socket(context), timer(context) {}
+  explicit Call(asio::io_context& context) : socket(context), timer(context), pace(context) {}
 
   void Finish(const std::optional<Message>& answer) {
     if (!handler) {
@@ -75,10 +78,36 @@
     const AnswerHandler done = std::exchange(handler, nullptr);
     asio::error_code ignored;
     timer.cancel();
+    pace.cancel();
     socket.close(ignored);
     done(answer);
   }
 
+  void Write() {
+    const std::size_t left = output.size() - written;
+    const std::size_t step =
+        bytes_per_second * static_cast<std::size_t>(kWriteInterval.count()) / 1000;
+    const std::size_t size = bytes_per_second == 0 ? left : std::min(left, step);
+    if (size == 0 || !handler) {
+      return;
+    }
+    pace.expires_after(kWriteInterval);
+    asio::async_write(
+        socket, asio::buffer(output.data() + written, size),
+        [self = shared_from_this(), size](const asio::error_code& error, std::size_t) {
+          if (error) {
+            self->Finish(std::nullopt);
+            return;
+          }
+          self->written += size;
+          self->pace.async_wait([self](const asio::error_code& cancelled) {
+            if (!cancelled) {
+              self->Write();
+            }
+          });
+        });
+  }
+
   void Read() {
     socket.async_read_some(
         asio::buffer(buffer),
@@ -98,9 +127,12 @@
 
   tcp::socket socket;
   asio::steady_timer timer;
+  asio::steady_timer pace;
   std::array<char, 16384> buffer{};
   std::string input;
   std::string output;
+  std::size_t written = 0;
+  std::size_t bytes_per_second = 0;
   AnswerHandler handler;
 };
 
@@ -116,10 +148,11 @@
 }
 
 void Send(asio::io_context& context, const tcp::endpoint& target, const Message& request,
-          std::chrono::milliseconds limit, AnswerHandler handler) {
+          std::chrono::milliseconds limit, AnswerHandler handler, std::size_t bytes_per_second) {
   const auto call = std::make_shared<Call>(context);
   call->handler = std::move(handler);
   call->output = Serialize(request);
+  call->bytes_per_second = bytes_per_second;
   call->timer.expires_after(limit);
   call->timer.async_wait([call](const asio::error_code& error) {
     if (!error) {
@@ -131,14 +164,8 @@
       call->Finish(std::nullopt);
       return;
     }
-    asio::async_write(call->socket, asio::buffer(call->output),
-                      [call](const asio::error_code& failed, std::size_t) {
-                        if (failed) {
-                          call->Finish(std::nullopt);
-                        } else {
-                          call->Read();
-                        }
-                      });
+    call->Write();
+    call->Read();
   });
 }
 
--- a/review/stand_ins/http.h
+++ b/review/stand_ins/http.h
@@ -20,7 +20,10 @@
   std::vector<std::pair<std::string, std::string>> fields;
   std::string body;
 
-  /** @return Value of the field @p name, whatever its case, or an empty text. */
+  /**
+   * @param name Name of a field, in any case.
+   * @return Its value, or an empty text if there is none.
+   */
   std::string Field(const std::string& name) const;
 };
 
@@ -34,9 +37,10 @@
  * @param request Sent with a Content-Length.
  * @param limit Time after which the connection is closed without an answer.
  * @param handler Called once.
+ * @param bytes_per_second Rate at which the request is written; 0 means without a bound.
  */
 void Send(asio::io_context& context, const asio::ip::tcp::endpoint& target, const Message& request,
-          std::chrono::milliseconds limit, AnswerHandler handler);
+          std::chrono::milliseconds limit, AnswerHandler handler, std::size_t bytes_per_second = 0);
 
 /** A connection of a client that carries one request after the other. */
 class KeptConnection {
@@ -72,7 +76,10 @@
 class Exchange {
  public:
   virtual ~Exchange() = default;
-  /** Sends the response; the connection is kept. No effect once the peer has gone. */
+  /**
+   * Sends the response; the connection is kept. No effect once the peer has gone.
+   * @param response Sent with a Content-Length.
+   */
   virtual void Respond(const Message& response) = 0;
   /** @return Whether the peer still holds the connection. */
   virtual bool is_open() const = 0;
--- a/review/stand_ins/record.h
+++ b/review/stand_ins/record.h
@@ -15,7 +15,10 @@
   /** @param path File to write; an earlier one is replaced. */
   explicit Record(const std::string& path) : file_(path), start_(Clock::now()) {}
 
-  /** Writes a line with the seconds since the start. */
+  /**
+   * Writes a line with the seconds since the start.
+   * @param line What was seen.
+   */
   void Write(const std::string& line) {
     const std::chrono::duration<double> since = Clock::now() - start_;
     file_ << std::fixed << since.count() << " " << line << "\n" << std::flush;
