ControlMember: Give a joiner its replica id only once it is committed

Two lost disks later no majority was left, and no host answered config.get with the acknowledged configuration.

Cause: Member::HandleJoinRequest answered a repeated request as soon as the learner stood in the newest membership of the leader's log, committed or not. The leader lost its quorum, its entry was replaced in the next term, and the joiner had stored an id that no member knows. The earlier path has the same answer in node::ControlGroup::HandleJoinRequest.

HostStatus tells whether a change is pending.

--- a/libraries/control_member/member.cc
+++ b/libraries/control_member/member.cc
@@ -248,6 +248,10 @@
     }
     return;
   }
+  // An id from a change that is not committed may never become a member. The joiner asks again.
+  if (status.has_pending_membership) {
+    return;
+  }
   for (const auto& [replica, member] : status.membership.members()) {
     if (member.host == request.storage) {
       if (!member.is_voter) {
--- a/libraries/node/control_group.cc
+++ b/libraries/node/control_group.cc
@@ -167,6 +167,10 @@
     return;
   }
   const replication::HostStatus status = host_->status();
+  // An id from a change that is not committed may never become a member. The host asks again.
+  if (status.has_pending_membership) {
+    return;
+  }
   // The host asks until it is told; a learner that was added for it already is its own.
   for (const auto& [replica, member] : status.membership.members()) {
     if (member.host == from && !member.is_voter) {
--- a/libraries/replication/host_status.h
+++ b/libraries/replication/host_status.h
@@ -24,7 +24,8 @@
   consensus::Index applied = 0;
   consensus::Term applied_term = 0;  // Term of the last applied entry, or 0 if unknown.
   consensus::Index snapshot_index = 0;
-  consensus::Membership membership;
+  consensus::Membership membership;  // The newest; it may still be undone while it is pending.
+  bool has_pending_membership = false;
   std::uint64_t appends = 0;  // Calls of ReplicaStorage::append.
   std::uint64_t appended_entries = 0;
   std::uint64_t storage_failures = 0;
--- a/libraries/replication/replica_host.cc
+++ b/libraries/replication/replica_host.cc
@@ -171,6 +171,7 @@
     status.applied_term = replica_->TermAt(applied_).value_or(0);
     status.snapshot_index = replica_->snapshot_index();
     status.membership = replica_->membership();
+    status.has_pending_membership = replica_->HasPendingMembership();
   }
   return status;
 }
--- a/tests/control_member/member_test.cc
+++ b/tests/control_member/member_test.cc
@@ -150,6 +150,34 @@
   ReplaceUntilAcknowledged(world, seconds(5));
 }
 
+// Guards against a joiner that starts under a replica id whose membership change is never committed
+// and stays out of the group for good, so that two lost disks later no majority is left.
+TEST(MemberTest, JoinerWhoseAdditionIsNotCommittedStillJoins) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    SCOPED_TRACE(seed);
+    World world(seed);
+    FormGroup(world);
+    ReplaceUntilAcknowledged(world, seconds(3));
+    const std::string leader = world.Leader();
+    std::vector<std::string> others = kHosts;
+    std::erase(others, leader);
+    const std::string joiner = others.back();
+    others.pop_back();
+    world.WipeDisk(joiner);
+    world.Advance(seconds(1));
+    for (const std::string& host : others) {
+      world.Kill(host);
+    }
+    world.Start(joiner, false);
+    world.Advance(milliseconds(100 + base::DrawBelow(world.random, 800)));
+    for (const std::string& host : others) {
+      world.Start(host, false);
+    }
+    ASSERT_TRUE(world.AdvanceUntil(seconds(15), [&] { return world.HasAllVoters(); }));
+    ReplaceUntilAcknowledged(world, seconds(5));
+  }
+}
+
 // Guards against reading a stale declaration from the old leader during a network partition.
 TEST(MemberTest, PartitionedLeaderServesNoStaleRead) {
   for (std::uint64_t seed = 1; seed <= 10; ++seed) {
