ControlMember: Tell a replica of its removal only once that is committed

A voter that returns while its removal is proposed was told at once that it is no member. It left its stored state behind, and if the leader then lost its quorum, the next leader knew of no removal: the group counted a disk that its host had given up, one lost disk more than were lost.

Cause: Member::HandleReplicationMessage compared the sender with the newest membership of the log, committed or not.

Ruled out: a removal seen by an old leader; ids are never reused, so a committed removal is final whoever tells of it.

Change: no RemovalNotice while a membership change is pending.

--- a/libraries/control_member/member.cc
+++ b/libraries/control_member/member.cc
@@ -202,7 +202,9 @@
     return;
   }
   const replication::HostStatus status = replica_host_->status();
+  // A removal that is not committed may be undone, and the voter would have discarded its disk.
   const bool is_removed = status.soft_state.role == consensus::Role::kLeader &&
+                          !status.has_pending_membership &&
                           !status.membership.Contains(message.sender) &&
                           message.sender < status.membership.next_id();
   if (is_removed) {
--- a/tests/control_member/member_test.cc
+++ b/tests/control_member/member_test.cc
@@ -178,6 +178,44 @@
   }
 }
 
+// Guards against a voter that discards its disk because the leader has proposed its removal, while
+// the removal is not committed and the group still counts that disk.
+TEST(MemberTest, VoterKeepsItsDiskUntilItsRemovalIsCommitted) {
+  for (int offset = 2000; offset < 2900; offset += 20) {
+    SCOPED_TRACE(offset);
+    World world(static_cast<std::uint64_t>(offset) + 1);
+    FormGroup(world);
+    ReplaceUntilAcknowledged(world, seconds(3));
+    const std::string leader = world.Leader();
+    std::vector<std::string> others = kHosts;
+    std::erase(others, leader);
+    const std::string silent = others.back();
+    others.pop_back();
+    const consensus::ReplicaId replica = world.member(silent).status().replica_host.replica;
+    world.Kill(silent);
+    world.Start("c6", false);
+    world.Advance(milliseconds(offset));
+    for (const std::string& host : others) {
+      world.Kill(host);
+    }
+    world.Start(silent, false);
+    world.Advance(milliseconds(700));
+    for (const std::string& host : others) {
+      world.Start(host, false);
+    }
+    ASSERT_TRUE(world.AdvanceUntil(seconds(5), [&] {
+      return !world.Leader().empty() &&
+             world.member(world.Leader()).status().replica_host.applied_term ==
+                 world.member(world.Leader()).status().replica_host.soft_state.term;
+    }));
+    const consensus::Membership membership =
+        world.member(world.Leader()).status().replica_host.membership;
+    if (membership.IsVoter(replica)) {
+      EXPECT_EQ(world.member(silent).status().replica_host.replica, replica);
+    }
+  }
+}
+
 // Guards against reading a stale declaration from the old leader during a network partition.
 TEST(MemberTest, PartitionedLeaderServesNoStaleRead) {
   for (std::uint64_t seed = 1; seed <= 10; ++seed) {
