ControlMember: Let a removed replica that hears no leader ask about itself

A host lost its disk twice, and a join request of the earlier disk arrived last. The learner added for that one has the highest id at the address, so the learner of the current disk was removed.

Cause: a removed voter hears of its removal because it campaigns; a learner sends nothing of its own accord, and consensus::Replica never cleared the leader that a learner heard last. A voter whose known members have all been replaced has the same gap.

Ruled out: a late JoinAnswer (it names another disk and is ignored); the order of join requests by their disk (names are random; giving them an order would need a counter that survives the lost disk).

Change: a learner without contact for an election timeout has no leader, which also ends IsCurrent() on one that is cut off. A replica without a leader asks the seeds once a second; the leader, found through at most one follower, answers with the removal notice if the removal is committed.

MemberTest.RemovedLearnerJoinsAgain failed before the change (not all voters after 15 s) and passes.

--- a/libraries/consensus/replica.cc
+++ b/libraries/consensus/replica.cc
@@ -62,6 +62,8 @@
   if (log_.membership().IsVoter(id())) {
     Campaign(/*is_pre_vote=*/true, /*is_transfer=*/false);
   } else {
+    // A learner does not campaign; without this it would follow a leader that it no longer hears.
+    leader_ = kNoReplica;
     ResetElectionTimer();
   }
 }
--- a/libraries/control_member/formation_message.cc
+++ b/libraries/control_member/formation_message.cc
@@ -4,6 +4,7 @@
 
 #include <exception>
 #include <msgpack.hpp>
+#include <tuple>
 
 namespace borageloft::control_member {
 
@@ -37,6 +38,13 @@
   packer.pack(message.term);
 }
 
+void PackBody(Packer& packer, const MembershipInquiry& message) {
+  packer.pack(message.address);
+  packer.pack_array(2);
+  packer.pack(message.replica);
+  packer.pack(message.is_forwarded);
+}
+
 FormationMessage Unpack(std::uint64_t type, const msgpack::object& first,
                         const msgpack::object& second) {
   switch (type) {
@@ -52,6 +60,10 @@
       return JoinAnswer{first.as<std::string>(), second.as<consensus::ReplicaId>()};
     case 3:
       return RemovalNotice{first.as<consensus::ReplicaId>(), second.as<consensus::Term>()};
+    case 4: {
+      const auto [replica, is_forwarded] = second.as<std::tuple<consensus::ReplicaId, bool>>();
+      return MembershipInquiry{first.as<std::string>(), replica, is_forwarded};
+    }
     default:
       throw ControlMemberError(fmt::format("unknown control group message type {}", type));
   }
--- a/libraries/control_member/formation_message.h
+++ b/libraries/control_member/formation_message.h
@@ -40,8 +40,16 @@
   consensus::Term term = 0;  ///< Term of the leader that sends the notice.
 };
 
+/** A replica without a leader asks whether it is still a member. Followers forward it once. */
+struct MembershipInquiry {
+  std::string address;  ///< Of the host that asks.
+  consensus::ReplicaId replica = consensus::kNoReplica;
+  bool is_forwarded = false;
+};
+
 /** Any message between control hosts. */
-using FormationMessage = std::variant<ReplicationMessage, JoinRequest, JoinAnswer, RemovalNotice>;
+using FormationMessage =
+    std::variant<ReplicationMessage, JoinRequest, JoinAnswer, RemovalNotice, MembershipInquiry>;
 
 /** @return @p message in its wire format. */
 std::string EncodeFormationMessage(const FormationMessage& message);
--- a/libraries/control_member/member.cc
+++ b/libraries/control_member/member.cc
@@ -12,6 +12,9 @@
 
 constexpr const char* kGroupName = "declaration";
 constexpr std::chrono::milliseconds kJoinInterval{150};
+// Time between two inquiries of a replica without a leader. An election takes about as long, so few
+// are sent while the group has no leader.
+constexpr std::chrono::milliseconds kInquiryInterval{1000};
 // Separates the address of a host from the random number of its disk in a storage name.
 constexpr char kStorageSeparator = '#';
 
@@ -81,6 +84,9 @@
   if (restart_timer_) {
     timers_.Unsubscribe(*restart_timer_);
   }
+  if (inquiry_timer_) {
+    timers_.Unsubscribe(*inquiry_timer_);
+  }
 }
 
 void Member::CreateReplicaHost() {
@@ -119,6 +125,8 @@
 std::size_t Member::RequiredVoters() const { return 2 * options_.tolerated_losses + 1; }
 
 void Member::Start() {
+  inquiry_timer_ =
+      timers_.SubscribeEvery(kInquiryInterval, [this](base::TimePoint) { SendInquiries(); });
   try {
     if (replication::LoadConsistent(storage_->Hooks())) {
       StartReplica({replication::StartMode::kRestart, consensus::kNoReplica, {}}, "restart");
@@ -189,6 +197,8 @@
       }
     } else if (const auto* removal = std::get_if<RemovalNotice>(&message)) {
       HandleRemovalNotice(*removal);
+    } else if (const auto* inquiry = std::get_if<MembershipInquiry>(&message)) {
+      HandleInquiry(from, *inquiry);
     }
   } catch (const base::Error& error) {
     base::Log(base::LogLevel::kWarning, "control_message_refused",
@@ -202,18 +212,54 @@
     return;
   }
   const replication::HostStatus status = replica_host_->status();
-  // A removal that is not committed may be undone, and the voter would have discarded its disk.
-  const bool is_removed = status.soft_state.role == consensus::Role::kLeader &&
-                          !status.has_pending_membership &&
-                          !status.membership.Contains(message.sender) &&
-                          message.sender < status.membership.next_id();
-  if (is_removed) {
+  if (KnowsRemovalOf(message.sender, status)) {
     Send(from, RemovalNotice{message.sender, status.soft_state.term});
     return;
   }
   replica_host_->Receive(message.bytes);
 }
 
+bool Member::KnowsRemovalOf(consensus::ReplicaId replica,
+                            const replication::HostStatus& status) const {
+  // A removal that is not committed may be undone, and the voter would have discarded its disk.
+  return is_replica_started_ && status.soft_state.role == consensus::Role::kLeader &&
+         !status.has_pending_membership && !status.membership.Contains(replica) &&
+         replica < status.membership.next_id();
+}
+
+// A removed voter learns of its removal when it campaigns. A removed learner never does, and the
+// members that a removed voter knows may all have been replaced.
+void Member::SendInquiries() {
+  if (!is_replica_started_) {
+    return;
+  }
+  const replication::HostStatus status = replica_host_->status();
+  if (status.soft_state.leader != consensus::kNoReplica) {
+    return;
+  }
+  for (const std::string& seed : options_.seeds) {
+    if (seed != options_.address) {
+      Send(seed, MembershipInquiry{options_.address, status.replica, false});
+    }
+  }
+}
+
+void Member::HandleInquiry(const std::string& from, const MembershipInquiry& inquiry) {
+  if (!is_replica_started_) {
+    return;
+  }
+  const replication::HostStatus status = replica_host_->status();
+  if (KnowsRemovalOf(inquiry.replica, status)) {
+    Send(inquiry.address, RemovalNotice{inquiry.replica, status.soft_state.term});
+    return;
+  }
+  const std::string leader = AddressOf(status.soft_state.leader);
+  if (status.soft_state.role != consensus::Role::kLeader && !inquiry.is_forwarded &&
+      !leader.empty() && leader != from) {
+    Send(leader, MembershipInquiry{inquiry.address, inquiry.replica, true});
+  }
+}
+
 // A replica that was removed while it was unreachable rejoins as an empty one. Its old files remain
 // on disk; the new replica stores its state under the next generation.
 void Member::HandleRemovalNotice(const RemovalNotice& removal) {
--- a/libraries/control_member/member.h
+++ b/libraries/control_member/member.h
@@ -122,11 +122,15 @@
   void BeginJoin();
   void HandleReplicationMessage(const std::string& from, const ReplicationMessage& message);
   void HandleRemovalNotice(const RemovalNotice& removal);
+  void HandleInquiry(const std::string& from, const MembershipInquiry& inquiry);
+  void SendInquiries();
   void SendJoinRequests();
   void HandleJoinRequest(const std::string& from, const JoinRequest& request);
   std::string Apply(const std::string& command);
   std::string AddressOf(consensus::ReplicaId replica) const;
   std::size_t RequiredVoters() const;
+  // Whether this host leads and @p replica was removed by a committed change.
+  bool KnowsRemovalOf(consensus::ReplicaId replica, const replication::HostStatus& status) const;
   void Send(const std::string& address, const FormationMessage& message);
 
   MemberOptions options_;
@@ -144,6 +148,7 @@
   std::map<consensus::ReplicaId, std::string> learned_addresses_;
   std::optional<timer::SubscriptionId> join_timer_;
   std::optional<timer::SubscriptionId> restart_timer_;
+  std::optional<timer::SubscriptionId> inquiry_timer_;
 };
 
 /** @return Address part of a storage name. */
--- a/tests/control_member/member_test.cc
+++ b/tests/control_member/member_test.cc
@@ -153,7 +153,7 @@
 // Guards against a joiner that starts under a replica id whose membership change is never committed
 // and stays out of the group for good, so that two lost disks later no majority is left.
 TEST(MemberTest, JoinerWhoseAdditionIsNotCommittedStillJoins) {
-  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
     SCOPED_TRACE(seed);
     World world(seed);
     FormGroup(world);
@@ -165,13 +165,26 @@
     others.pop_back();
     world.WipeDisk(joiner);
     world.Advance(seconds(1));
-    for (const std::string& host : others) {
-      world.Kill(host);
-    }
-    world.Start(joiner, false);
-    world.Advance(milliseconds(100 + base::DrawBelow(world.random, 800)));
-    for (const std::string& host : others) {
-      world.Start(host, false);
+    const auto interrupt = [&] {
+      for (const std::string& host : others) {
+        world.Kill(host);
+      }
+      world.Start(joiner, false);
+      world.Advance(milliseconds(100 + base::DrawBelow(world.random, 800)));
+      for (const std::string& host : others) {
+        world.Start(host, false);
+      }
+    };
+    interrupt();
+    // Some joiners are killed once more, with and without the disk that they began to fill.
+    if (seed % 2 == 0) {
+      world.Advance(milliseconds(base::DrawBelow(world.random, 1500)));
+      if (seed % 4 == 0) {
+        world.WipeDisk(joiner);
+      } else {
+        world.Kill(joiner, PowerLoss::kLoseUnsynced);
+      }
+      interrupt();
     }
     ASSERT_TRUE(world.AdvanceUntil(seconds(15), [&] { return world.HasAllVoters(); }));
     ReplaceUntilAcknowledged(world, seconds(5));
@@ -216,6 +229,42 @@
   }
 }
 
+// Guards against a learner that was removed while nobody could reach it and never asks again,
+// because only voters campaign.
+TEST(MemberTest, RemovedLearnerJoinsAgain) {
+  World world(7);
+  FormGroup(world);
+  ReplaceUntilAcknowledged(world, seconds(3));
+  const std::string host = world.Leader() == "c5" ? "c4" : "c5";
+  world.WipeDisk(host);
+  world.Advance(seconds(1));
+  world.Start(host, false);
+  const auto find_learner = [&] {
+    const consensus::Membership membership =
+        world.member(world.Leader()).status().replica_host.membership;
+    for (const auto& [replica, member] : membership.members()) {
+      if (!member.is_voter && world.member(host).status().replica_host.replica == replica) {
+        return replica;
+      }
+    }
+    return consensus::kNoReplica;
+  };
+  ASSERT_TRUE(
+      world.AdvanceUntil(seconds(5), [&] { return find_learner() != consensus::kNoReplica; }));
+  const consensus::ReplicaId learner = find_learner();
+  world.SetPartitioned(host, true);
+  // A join request of an earlier disk of the host arrives late. The learner that the group adds for
+  // it is the newest at this address, so the learner of the current disk is removed.
+  ASSERT_TRUE(world.AdvanceUntil(seconds(5), [&] {
+    Member& leader = world.member(world.Leader());
+    leader.Receive(host, EncodeFormationMessage(JoinRequest{host + "#earlier", false}));
+    return !leader.status().replica_host.membership.Contains(learner);
+  }));
+  world.Advance(seconds(2));
+  world.SetPartitioned(host, false);
+  EXPECT_TRUE(world.AdvanceUntil(seconds(15), [&] { return world.HasAllVoters(); }));
+}
+
 // Guards against reading a stale declaration from the old leader during a network partition.
 TEST(MemberTest, PartitionedLeaderServesNoStaleRead) {
   for (std::uint64_t seed = 1; seed <= 10; ++seed) {
