Directory: Remember the process that left when its instance falls silent

Cause: LocalInstance::ExpireIfSilent cleared the id and the leave after three heartbeat intervals without a heartbeat. The late heartbeat was then neither of the known process, so that its sequence number was not compared, nor of one that had left.

Ruled out: the control hosts and the other nodes; they list what the node beside the backend publishes.

Change: LocalInstance keeps the last heartbeat of a silent instance, only hides it, and remembers the last eight processes that announced their leaving, by id and start. Neither a late heartbeat nor one after a longer silence brings such a process back; a new process under the same id serves.

LocalInstanceTest.ALateHeartbeatDoesNotBringBackAnInstanceThatLeft and ALateHeartbeatDoesNotBringBackASilentInstance (the same cause without a leave) failed before the change and pass.

--- a/libraries/directory/local_instance.cc
+++ b/libraries/directory/local_instance.cc
@@ -20,21 +20,26 @@
   }
   // The heartbeats of an adopted instance tell its start for the first time.
   const bool is_adopted = heartbeat_.born == 0 && heartbeat.instance == heartbeat_.instance;
-  const bool has_left = leaving_since_.has_value() && (is_same_process || is_adopted);
   const bool is_new = !is_same_process || !is_known();
   heartbeat_ = heartbeat;
   newest_start_ = heartbeat.born;
   heard_at_ = now;
   is_suspect_ = false;
+  is_silent_ = false;
   if (!is_same_process && !is_adopted) {
     leaving_since_.reset();
   }
   // A process that is leaving never serves again; later serving heartbeats do not change that.
-  if (heartbeat.state == InstanceState::kLeaving && !has_left) {
+  if (const Departed* departed = FindDeparted(incarnation())) {
+    leaving_since_ = departed->since;
+  } else if (heartbeat.state == InstanceState::kLeaving && !leaving_since_) {
     // An instance that is leaving when first heard may have told an earlier process of this node so
     // long ago.
     leaving_since_ = is_new ? base::TimePoint{} : now;
   }
+  if (leaving_since_) {
+    RememberDeparted(incarnation(), *leaving_since_);
+  }
   return HeartbeatOutcome::kTaken;
 }
 
@@ -52,12 +57,13 @@
 }
 
 bool LocalInstance::HandleLeave(const std::string& instance, base::TimePoint now) {
-  if (instance.empty() || instance != heartbeat_.instance) {
+  if (instance.empty() || instance != this->instance()) {
     return false;
   }
   if (!leaving_since_) {
     leaving_since_ = now;
   }
+  RememberDeparted(incarnation(), *leaving_since_);
   heard_at_ = now;
   return true;
 }
@@ -66,13 +72,29 @@
   if (!is_known() || now - heard_at_ < silence_limit_) {
     return false;
   }
-  // The start time is kept, so that delayed heartbeats of earlier processes are still ignored.
-  heartbeat_.instance.clear();
+  is_silent_ = true;
   leaving_since_.reset();
   is_suspect_ = false;
   return true;
 }
 
+const LocalInstance::Departed* LocalInstance::FindDeparted(const Incarnation& incarnation) const {
+  const auto found = std::find_if(departed_.begin(), departed_.end(), [&](const Departed& entry) {
+    return entry.incarnation == incarnation;
+  });
+  return found == departed_.end() ? nullptr : &*found;
+}
+
+void LocalInstance::RememberDeparted(const Incarnation& incarnation, base::TimePoint since) {
+  if (FindDeparted(incarnation) != nullptr) {
+    return;
+  }
+  departed_.push_back({incarnation, since});
+  if (departed_.size() > kMaxDeparted) {
+    departed_.pop_front();
+  }
+}
+
 base::Duration LocalInstance::WarmUpLeft(base::TimePoint now) const {
   return std::max(base::Duration::zero(), heartbeat_.warm_up_left - (now - heard_at_));
 }
--- a/libraries/directory/local_instance.h
+++ b/libraries/directory/local_instance.h
@@ -2,6 +2,7 @@
 #define BORAGELOFT_DIRECTORY_LOCAL_INSTANCE_H_
 
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <string>
 
@@ -30,7 +31,8 @@
 /**
  * State of the instance on this host, as known from its heartbeats. Processes are ordered by their
  * start time, and the messages of a process by their sequence number, so that a delayed message of
- * an ended process has no effect. Not thread-safe.
+ * an ended process has no effect. A process that has announced its leaving is remembered and never
+ * serves again, however late a heartbeat of it arrives. Not thread-safe.
  */
 class LocalInstance {
  public:
@@ -64,13 +66,13 @@
   void Suspect() { is_suspect_ = true; }
 
   /** @return Id of the instance, or empty if there is none. */
-  const std::string& instance() const { return heartbeat_.instance; }
-  Incarnation incarnation() const { return {heartbeat_.instance, heartbeat_.born}; }
+  std::string instance() const { return is_silent_ ? "" : heartbeat_.instance; }
+  Incarnation incarnation() const { return {instance(), heartbeat_.born}; }
   const std::string& service() const { return service_; }
   std::uint32_t slots() const { return heartbeat_.slots; }
   /** @return Whether an instance was heard or adopted since this process started. */
   bool has_been_heard() const { return heard_at_ != base::TimePoint{}; }
-  bool is_known() const { return !heartbeat_.instance.empty(); }
+  bool is_known() const { return !instance().empty(); }
   bool is_suspect() const { return is_suspect_; }
   /**
    * @return Time at which the instance was first known to leave, or nothing if it is not leaving.
@@ -81,13 +83,29 @@
   base::Duration WarmUpLeft(base::TimePoint now) const;
 
  private:
+  struct Departed {
+    Incarnation incarnation;
+    base::TimePoint since;
+  };
+
+  const Departed* FindDeparted(const Incarnation& incarnation) const;
+  void RememberDeparted(const Incarnation& incarnation, base::TimePoint since);
+
+  // Number of processes remembered as having left. Releases follow each other more slowly than
+  // heartbeats can be delayed.
+  static constexpr std::size_t kMaxDeparted = 8;
+
   std::string service_;
   base::Duration silence_limit_;
   Heartbeat heartbeat_;
   std::uint64_t newest_start_ = 0;
   base::TimePoint heard_at_{};
   bool is_suspect_ = false;
+  // Set once the instance was silent for too long. `heartbeat_` is kept, so that delayed messages
+  // of the process are still recognized as late.
+  bool is_silent_ = false;
   std::optional<base::TimePoint> leaving_since_;
+  std::deque<Departed> departed_;  // The oldest comes first.
 };
 
 }  // namespace borageloft::directory
--- a/libraries/directory/messages.h
+++ b/libraries/directory/messages.h
@@ -27,6 +27,8 @@
 struct Incarnation {
   std::string instance;
   std::uint64_t born = 0;  ///< Start in Unix milliseconds of its own clock; 0 if not known.
+
+  friend bool operator==(const Incarnation&, const Incarnation&) = default;
 };
 
 /** @return Whether both are known or assumed to be the same process. */
--- a/tests/directory/directory_test.cc
+++ b/tests/directory/directory_test.cc
@@ -97,6 +97,38 @@
   EXPECT_EQ(SendHeartbeat("i-0", 5, 1), HeartbeatOutcome::kLate);
 }
 
+// Guards against a heartbeat that was sent before the leave and arrives after the instance has been
+// silent for so long that it is no longer listed: the instance served again until it exited.
+TEST_F(LocalInstanceTest, ALateHeartbeatDoesNotBringBackAnInstanceThatLeft) {
+  SendHeartbeat("i-1", 10, 1);
+  ASSERT_TRUE(instance_.HandleLeave("i-1", now_));
+  const auto left = instance_.leaving_since();
+  now_ += seconds(5);
+  ASSERT_TRUE(instance_.ExpireIfSilent(now_));
+  // Sent before the leave, on a connection of its own.
+  SendHeartbeat("i-1", 10, 2);
+  EXPECT_EQ(instance_.leaving_since(), left);
+  now_ += seconds(60);
+  instance_.ExpireIfSilent(now_);
+  SendHeartbeat("i-1", 10, 3);
+  EXPECT_EQ(instance_.leaving_since(), left);
+  // The next process at this host serves, even under the same id.
+  SendHeartbeat("i-1", 20, 1);
+  EXPECT_FALSE(instance_.leaving_since());
+  EXPECT_TRUE(instance_.is_known());
+}
+
+// Guards against a delayed heartbeat that lists an instance again after it was silent too long.
+TEST_F(LocalInstanceTest, ALateHeartbeatDoesNotBringBackASilentInstance) {
+  SendHeartbeat("i-1", 10, 7);
+  now_ += seconds(5);
+  ASSERT_TRUE(instance_.ExpireIfSilent(now_));
+  EXPECT_EQ(SendHeartbeat("i-1", 10, 6), HeartbeatOutcome::kLate);
+  EXPECT_FALSE(instance_.is_known());
+  EXPECT_EQ(SendHeartbeat("i-1", 10, 8), HeartbeatOutcome::kTaken);
+  EXPECT_TRUE(instance_.is_known());
+}
+
 // Guards against a node that restarts while its instance is leaving and starts the time allowed for
 // leaving again (fault soak, seed 1041: 21 requests more than 2 s after the acknowledgement).
 TEST_F(LocalInstanceTest, ARestartedNodeDoesNotExtendTheTimeToLeave) {
