Directory: Let a late leave affect only the process that sent it

What callers saw: found by reading in the review (instances.leave carries the sender's start, which was not read). A leave that arrived late, after a new process had started under the same id, took the new process out of use; its requests went elsewhere or got 503.

Cause: LeaveCall held the id alone, and LocalInstance::HandleLeave compared ids.

A leave affects the known instance only if both may be the same process. The leave of a process that this node has not heard is remembered too, so that a heartbeat after it does not put that process in use.

LocalInstanceTest.ALateLeaveOfAnEarlierProcessDoesNotAffectItsSuccessor and AHeartbeatAfterTheLeaveOfAnUnknownProcessDoesNotMakeItServe pass; neither start could be stated before, so they do not compile against the old interface. PlatformDialectTest.ReadsEachCall covers missing and unreadable starts.

--- a/libraries/directory/local_instance.cc
+++ b/libraries/directory/local_instance.cc
@@ -56,14 +56,19 @@
   return true;
 }
 
-bool LocalInstance::HandleLeave(const std::string& instance, base::TimePoint now) {
-  if (instance.empty() || instance != this->instance()) {
+bool LocalInstance::HandleLeave(const Incarnation& incarnation, base::TimePoint now) {
+  if (incarnation.instance.empty()) {
     return false;
   }
-  if (!leaving_since_) {
+  const bool is_current = MayBeSame(incarnation, this->incarnation());
+  if (is_current && !leaving_since_) {
     leaving_since_ = now;
   }
-  RememberDeparted(incarnation(), *leaving_since_);
+  RememberDeparted(incarnation, is_current ? *leaving_since_ : now);
+  if (!is_current) {
+    return false;
+  }
+  RememberDeparted(this->incarnation(), *leaving_since_);
   heard_at_ = now;
   return true;
 }
@@ -86,7 +91,8 @@
 }
 
 void LocalInstance::RememberDeparted(const Incarnation& incarnation, base::TimePoint since) {
-  if (FindDeparted(incarnation) != nullptr) {
+  // Without its start, a process cannot be told from a later one under the same id.
+  if (incarnation.born == 0 || FindDeparted(incarnation) != nullptr) {
     return;
   }
   departed_.push_back({incarnation, since});
--- a/libraries/directory/local_instance.h
+++ b/libraries/directory/local_instance.h
@@ -53,8 +53,8 @@
    */
   bool Adopt(const std::string& instance, std::uint32_t slots, base::TimePoint now);
 
-  /** Handles the announcement that @p instance leaves. @return Whether it is the known instance. */
-  bool HandleLeave(const std::string& instance, base::TimePoint now);
+  /** Handles the announcement that @p incarnation leaves. @return Whether it is the known one. */
+  bool HandleLeave(const Incarnation& incarnation, base::TimePoint now);
 
   /** Removes the instance if it has been silent for too long. @return Whether it was removed. */
   bool ExpireIfSilent(base::TimePoint now);
--- a/libraries/mesh/dialect.h
+++ b/libraries/mesh/dialect.h
@@ -22,7 +22,7 @@
 
 /** An instance announces that it is leaving and will send no further heartbeats. */
 struct LeaveCall {
-  std::string instance;
+  directory::Incarnation incarnation;  ///< Its start is 0 if the call does not state it.
 };
 
 /** An operator's request to replace the declaration. */
--- a/libraries/mesh/mesh_node.cc
+++ b/libraries/mesh/mesh_node.cc
@@ -279,9 +279,11 @@
 }
 
 void MeshNode::HandleLeave(const LeaveCall& call) {
-  const bool is_known = instance_.HandleLeave(call.instance, clock_());
+  const bool is_known = instance_.HandleLeave(call.incarnation, clock_());
   base::Log(base::LogLevel::kInfo, "instance_left",
-            {{"instance", call.instance}, {"known", is_known}});
+            {{"instance", call.incarnation.instance},
+             {"born", static_cast<Json::UInt64>(call.incarnation.born)},
+             {"known", is_known}});
   PublishRecord();
 }
 
--- a/libraries/request_path/local_gate.cc
+++ b/libraries/request_path/local_gate.cc
@@ -153,7 +153,7 @@
   if (response.load.is_leaving && !instance_.leaving_since()) {
     base::Log(base::LogLevel::kInfo, "instance_leaving_in_answer",
               {{"instance", incarnation_.instance}, {"request", tracked.request_id}});
-    instance_.HandleLeave(incarnation_.instance, now);
+    instance_.HandleLeave(incarnation_, now);
   }
 }
 
--- a/tests/directory/directory_test.cc
+++ b/tests/directory/directory_test.cc
@@ -46,8 +46,8 @@
   EXPECT_EQ(instance_.leaving_since(), since);
   SendHeartbeat("i-2", 20, 1);
   EXPECT_FALSE(instance_.leaving_since());
-  EXPECT_FALSE(instance_.HandleLeave("i-1", now_));
-  EXPECT_TRUE(instance_.HandleLeave("i-2", now_));
+  EXPECT_FALSE(instance_.HandleLeave({"i-1", 0}, now_));
+  EXPECT_TRUE(instance_.HandleLeave({"i-2", 0}, now_));
   EXPECT_TRUE(instance_.leaving_since());
 }
 
@@ -79,7 +79,7 @@
 // said.
 TEST_F(LocalInstanceTest, AnAdoptedInstanceThatLeavesStaysLeaving) {
   instance_.Adopt("i-1", 4, now_);
-  instance_.HandleLeave("i-1", now_);
+  instance_.HandleLeave({"i-1", 0}, now_);
   SendHeartbeat("i-1", 10, 3);
   EXPECT_EQ(instance_.leaving_since(), now_);
   SendHeartbeat("i-1", 20, 1);
@@ -101,7 +101,7 @@
 // silent for so long that it is no longer listed: the instance served again until it exited.
 TEST_F(LocalInstanceTest, ALateHeartbeatDoesNotBringBackAnInstanceThatLeft) {
   SendHeartbeat("i-1", 10, 1);
-  ASSERT_TRUE(instance_.HandleLeave("i-1", now_));
+  ASSERT_TRUE(instance_.HandleLeave({"i-1", 0}, now_));
   const auto left = instance_.leaving_since();
   now_ += seconds(5);
   ASSERT_TRUE(instance_.ExpireIfSilent(now_));
@@ -129,6 +129,24 @@
   EXPECT_TRUE(instance_.is_known());
 }
 
+// Guards against a late leave of an ended process that takes its successor under the same id out of
+// use.
+TEST_F(LocalInstanceTest, ALateLeaveOfAnEarlierProcessDoesNotAffectItsSuccessor) {
+  SendHeartbeat("i-1", 10, 1);
+  SendHeartbeat("i-1", 20, 1);
+  EXPECT_FALSE(instance_.HandleLeave({"i-1", 10}, now_));
+  EXPECT_FALSE(instance_.leaving_since());
+  EXPECT_TRUE(instance_.HandleLeave({"i-1", 20}, now_));
+  EXPECT_TRUE(instance_.leaving_since());
+}
+
+// Guards against a heartbeat that arrives after the leave, both sent before the node was started.
+TEST_F(LocalInstanceTest, AHeartbeatAfterTheLeaveOfAnUnknownProcessDoesNotMakeItServe) {
+  EXPECT_FALSE(instance_.HandleLeave({"i-1", 10}, now_));
+  SendHeartbeat("i-1", 10, 5);
+  EXPECT_TRUE(instance_.leaving_since());
+}
+
 // Guards against a node that restarts while its instance is leaving and starts the time allowed for
 // leaving again (fault soak, seed 1041: 21 requests more than 2 s after the acknowledgement).
 TEST_F(LocalInstanceTest, ARestartedNodeDoesNotExtendTheTimeToLeave) {
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -157,9 +157,15 @@
       dialect.decode_call(Call("/borageloft/rpc?call=instances.heartbeat&of=i-1", kHeartbeat));
   ASSERT_TRUE(std::holds_alternative<mesh::HeartbeatCall>(heartbeat_call));
   const mesh::NodeCall leave =
-      dialect.decode_call(Call("/borageloft/rpc?call=instances.leave&of=i-1"));
+      dialect.decode_call(Call("/borageloft/rpc?call=instances.leave&of=i-1", R"({"born":1786})"));
   ASSERT_TRUE(std::holds_alternative<mesh::LeaveCall>(leave));
-  EXPECT_EQ(std::get<mesh::LeaveCall>(leave).instance, "i-1");
+  EXPECT_EQ(std::get<mesh::LeaveCall>(leave).incarnation, (directory::Incarnation{"i-1", 1786}));
+  for (const char* body : {"", "{", "[]", R"({"born":"1786"})", R"({"born":-1})"}) {
+    const mesh::NodeCall unclear =
+        dialect.decode_call(Call("/borageloft/rpc?call=instances.leave&of=i-1", body));
+    ASSERT_TRUE(std::holds_alternative<mesh::LeaveCall>(unclear)) << body;
+    EXPECT_EQ(std::get<mesh::LeaveCall>(unclear).incarnation, (directory::Incarnation{"i-1", 0}));
+  }
   EXPECT_TRUE(std::holds_alternative<mesh::ReadCall>(
       dialect.decode_call(Call("/borageloft/rpc?call=config.get"))));
   http_stream::RequestMessage put = Call("/borageloft/rpc?call=config.put", kConfiguration);
