Mesh: Record a departure at the control hosts before acknowledging it

A heartbeat sent before the leave arrived 4.5 s late and put the backend in use; 40 requests reached it later than drain_ms after the acknowledgement, and 4 of them were lost at its exit.

Cause: the acknowledgement was kept in the memory of one process (LocalInstance) and nowhere else. A node has no disk, so its next process took any first heartbeat as that of a serving instance, and the record it published replaced the leaving one at all other nodes, as it is of a newer process.

Considered and not done: asking the health path before each first heartbeat counts, as a probe waits for a slot under load and health answers may be false; keeping the leave in the soft registry of the control hosts, which forgets it when they are killed together with the node.

A node acknowledges a leave or a draining heartbeat once the leader has confirmed that it is recorded, or answers 503 after 0.85 s; the sender asks again. It stops giving the backend work at once in either case. A started node asks for its departures, read through the leader, and treats its instance as unknown until it has the answer; a heartbeat of a recorded process never makes it serve. Control hosts forward a request once, to the leader.

--- a/libraries/control_member/member.cc
+++ b/libraries/control_member/member.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <charconv>
 #include <set>
 #include <utility>
 
@@ -17,6 +18,12 @@
 constexpr std::chrono::milliseconds kInquiryInterval{1000};
 // Separates the address of a host from the random number of its disk in a storage name.
 constexpr char kStorageSeparator = '#';
+// Begins a departure in the log, and a snapshot with departures. A declaration begins with its
+// version in eight bytes, which is never as high.
+constexpr std::string_view kDepartureMark = "\xff\xff\xff\xff\xff\xff\xff\xff";
+// Length of the departures in a snapshot, as hexadecimal digits.
+constexpr std::size_t kLengthDigits = 8;
+constexpr int kLengthBase = 16;
 
 using declaration::ReplaceOutcome;
 
@@ -101,9 +108,9 @@
   dependencies.state_machine.apply = [this](consensus::Index, const std::string& command) {
     return Apply(command);
   };
-  dependencies.state_machine.snapshot = [this] { return register_.Snapshot(); };
+  dependencies.state_machine.snapshot = [this] { return Snapshot(); };
   dependencies.state_machine.restore = [this](const std::string& data) {
-    register_.Restore(data);
+    Restore(data);
     hooks_.on_declaration();
   };
   dependencies.send = [this](consensus::ReplicaId to, std::string bytes) {
@@ -322,6 +329,16 @@
 }
 
 std::string Member::Apply(const std::string& bytes) {
+  if (bytes.starts_with(kDepartureMark)) {
+    const directory::Departure departure =
+        directory::DecodeDeparture(std::string_view(bytes).substr(kDepartureMark.size()));
+    departures_.Add(departure);
+    base::Log(base::LogLevel::kInfo, "departure_recorded",
+              {{"node", departure.node},
+               {"instance", departure.incarnation.instance},
+               {"born", static_cast<Json::UInt64>(departure.incarnation.born)}});
+    return "";
+  }
   const declaration::ReplaceCommand command = declaration::DecodeCommand(bytes);
   const ReplaceOutcome outcome = register_.Apply(command);
   base::Log(base::LogLevel::kInfo, "declaration_applied",
@@ -335,6 +352,53 @@
   return std::string(1, static_cast<char>(outcome));
 }
 
+std::string Member::Snapshot() const {
+  const std::string departures = departures_.Snapshot();
+  return fmt::format("{}{:08x}{}{}", kDepartureMark, departures.size(), departures,
+                     register_.Snapshot());
+}
+
+void Member::Restore(std::string_view data) {
+  std::string_view departures;
+  // Snapshots of the earlier release hold the declaration only.
+  if (data.starts_with(kDepartureMark)) {
+    data.remove_prefix(kDepartureMark.size());
+    std::size_t size = 0;
+    const char* const end = data.data() + std::min(kLengthDigits, data.size());
+    const auto parsed = std::from_chars(data.data(), end, size, kLengthBase);
+    if (parsed.ec != std::errc() || parsed.ptr != end || data.size() - kLengthDigits < size) {
+      throw ControlMemberError("a snapshot is truncated");
+    }
+    departures = data.substr(kLengthDigits, size);
+    data.remove_prefix(kLengthDigits + size);
+  }
+  departures_.Restore(departures);
+  register_.Restore(data);
+}
+
+void Member::RecordDeparture(const directory::Departure& departure, DepartureCallback callback) {
+  if (!is_replica_started_) {
+    callback(false);
+    return;
+  }
+  replica_host_->Propose(
+      std::string(kDepartureMark) + directory::EncodeDeparture(departure),
+      [callback = std::move(callback)](const replication::ProposalOutcome& outcome) {
+        callback(outcome.kind == replication::ProposalOutcomeKind::kCommitted);
+      });
+}
+
+void Member::ReadDepartures(DepartureReadCallback callback) {
+  if (!is_replica_started_) {
+    callback(nullptr);
+    return;
+  }
+  replica_host_->Read(
+      [this, callback = std::move(callback)](const replication::ReadOutcome& outcome) {
+        callback(outcome.kind == replication::ReadOutcomeKind::kReady ? &departures_ : nullptr);
+      });
+}
+
 void Member::Replace(const declaration::ReplaceCommand& command, ReplaceCallback callback) {
   const replication::HostStatus status = replica_host_->status();
   if (!is_replica_started_ || status.soft_state.role != consensus::Role::kLeader) {
--- a/libraries/control_member/member.h
+++ b/libraries/control_member/member.h
@@ -8,6 +8,7 @@
 
 #include "libraries/control_member/formation_message.h"
 #include "libraries/declaration/declaration.h"
+#include "libraries/directory/directory.h"
 #include "libraries/replication/replication.h"
 #include "libraries/storage/storage.h"
 #include "libraries/timer/timer.h"
@@ -52,6 +53,12 @@
 /** Receives the newest declaration, or null if this host cannot confirm that it is the newest. */
 using ReadCallback = std::function<void(const declaration::DeclarationRegister* newest)>;
 
+/** Receives whether a departure is recorded. Called exactly once. */
+using DepartureCallback = std::function<void(bool is_recorded)>;
+
+/** Receives the newest departures, or null if this host cannot confirm that they are. */
+using DepartureReadCallback = std::function<void(const directory::DepartureRegister* newest)>;
+
 /** State of a Member, for status, metrics and logs. */
 struct MemberStatus {
   replication::HostStatus replica_host;
@@ -60,7 +67,8 @@
 };
 
 /**
- * A control host as a member of the replicated group that stores the declaration.
+ * A control host as a member of the replicated group that stores the declaration and which instance
+ * processes have left.
  *
  * On a first start the seeds form the group. Every other host, and every host whose disk is empty
  * on a later start, joins as a learner under a random name for its disk, so that a host that lost
@@ -96,6 +104,12 @@
   /** Reads the newest declaration if this host is the leader; @p callback receives it. */
   void ReadNewest(ReadCallback callback);
 
+  /** Records a departure durably on a majority if this host is the leader. */
+  void RecordDeparture(const directory::Departure& departure, DepartureCallback callback);
+
+  /** Reads the newest departures if this host is the leader; @p callback receives them. */
+  void ReadDepartures(DepartureReadCallback callback);
+
   /** Replaces the control hosts to contact first; the new list may name different hosts. */
   void set_seeds(std::vector<std::string> seeds) { options_.seeds = std::move(seeds); }
 
@@ -114,6 +128,9 @@
   /** @return The declaration as applied on this host; it may lag behind the newest. */
   const declaration::DeclarationRegister& applied() const { return register_; }
 
+  /** @return Departures as applied on this host; they may lag behind the newest. */
+  const directory::DepartureRegister& departures() const { return departures_; }
+
   MemberStatus status() const;
 
  private:
@@ -127,6 +144,8 @@
   void SendJoinRequests();
   void HandleJoinRequest(const std::string& from, const JoinRequest& request);
   std::string Apply(const std::string& command);
+  std::string Snapshot() const;
+  void Restore(std::string_view data);
   std::string AddressOf(consensus::ReplicaId replica) const;
   std::size_t RequiredVoters() const;
   // Whether this host leads and @p replica was removed by a committed change.
@@ -142,6 +161,7 @@
   std::unique_ptr<replication::GroupStorage> storage_;
   std::unique_ptr<replication::ReplicaHost> replica_host_;
   declaration::DeclarationRegister register_;
+  directory::DepartureRegister departures_;
   std::string storage_name_;  // Name under which this host's disk asks to join.
   bool is_replica_started_ = false;
   // Addresses from which replicas sent messages.
--- a/libraries/directory/directory.h
+++ b/libraries/directory/directory.h
@@ -4,6 +4,7 @@
 /** @file Public header of the directory library, which tracks the instances and their nodes. */
 
 #include "libraries/directory/control_directory.h"
+#include "libraries/directory/departure_register.h"
 #include "libraries/directory/directory_view.h"
 #include "libraries/directory/local_instance.h"
 #include "libraries/directory/messages.h"
--- a/libraries/directory/local_instance.cc
+++ b/libraries/directory/local_instance.cc
@@ -20,7 +20,7 @@
   }
   // The heartbeats of an adopted instance tell its start for the first time.
   const bool is_adopted = heartbeat_.born == 0 && heartbeat.instance == heartbeat_.instance;
-  const bool is_new = !is_same_process || !is_known();
+  const bool is_new = !is_same_process || is_silent_;
   heartbeat_ = heartbeat;
   newest_start_ = heartbeat.born;
   heard_at_ = now;
@@ -74,7 +74,7 @@
 }
 
 bool LocalInstance::ExpireIfSilent(base::TimePoint now) {
-  if (!is_known() || now - heard_at_ < silence_limit_) {
+  if (instance().empty() || now - heard_at_ < silence_limit_) {
     return false;
   }
   is_silent_ = true;
@@ -101,6 +101,18 @@
   }
 }
 
+void LocalInstance::RecallDepartures(const std::vector<Incarnation>& departed) {
+  awaits_departures_ = false;
+  for (const Incarnation& left : departed) {
+    // It may have left long ago.
+    RememberDeparted(left, base::TimePoint{});
+  }
+  const Departed* current = FindDeparted(incarnation());
+  if (current != nullptr && !leaving_since_) {
+    leaving_since_ = current->since;
+  }
+}
+
 base::Duration LocalInstance::WarmUpLeft(base::TimePoint now) const {
   return std::max(base::Duration::zero(), heartbeat_.warm_up_left - (now - heard_at_));
 }
--- a/libraries/directory/local_instance.h
+++ b/libraries/directory/local_instance.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "libraries/directory/messages.h"
 
@@ -59,6 +60,15 @@
   /** Removes the instance if it has been silent for too long. @return Whether it was removed. */
   bool ExpireIfSilent(base::TimePoint now);
 
+  /**
+   * Treats every instance as unknown until RecallDepartures(). A node calls this at its start, when
+   * it does not know what an earlier process of it has acknowledged.
+   */
+  void AwaitDepartures() { awaits_departures_ = true; }
+
+  /** Takes over the processes that are recorded as having left this host. */
+  void RecallDepartures(const std::vector<Incarnation>& departed);
+
   /**
    * Marks the instance as gone until its next heartbeat, because it was unreachable or another
    * instance answered in its place.
@@ -72,7 +82,7 @@
   std::uint32_t slots() const { return heartbeat_.slots; }
   /** @return Whether an instance was heard or adopted since this process started. */
   bool has_been_heard() const { return heard_at_ != base::TimePoint{}; }
-  bool is_known() const { return !instance().empty(); }
+  bool is_known() const { return !awaits_departures_ && !instance().empty(); }
   bool is_suspect() const { return is_suspect_; }
   /**
    * @return Time at which the instance was first known to leave, or nothing if it is not leaving.
@@ -104,6 +114,7 @@
   // Set once the instance was silent for too long. `heartbeat_` is kept, so that delayed messages
   // of the process are still recognized as late.
   bool is_silent_ = false;
+  bool awaits_departures_ = false;
   std::optional<base::TimePoint> leaving_since_;
   std::deque<Departed> departed_;  // The oldest comes first.
 };
--- a/libraries/directory/messages.cc
+++ b/libraries/directory/messages.cc
@@ -119,6 +119,58 @@
   packer.pack(answer.zone);
 }
 
+void Pack(Packer& packer, const Incarnation& incarnation) {
+  packer.pack_array(2);
+  packer.pack(incarnation.instance);
+  packer.pack(incarnation.born);
+}
+
+Incarnation UnpackIncarnation(const msgpack::object& object) {
+  Reader reader(object);
+  Incarnation incarnation;
+  reader.Take(incarnation.instance);
+  reader.Take(incarnation.born);
+  return incarnation;
+}
+
+void PackBody(Packer& packer, const DepartureRequest& request) {
+  packer.pack_array(4);
+  packer.pack(request.node);
+  packer.pack(request.epoch);
+  Pack(packer, request.departed);
+  packer.pack(request.is_forwarded);
+}
+
+void PackBody(Packer& packer, const DepartureAnswer& answer) {
+  packer.pack_array(2);
+  packer.pack(answer.epoch);
+  packer.pack_array(static_cast<std::uint32_t>(answer.departed.size()));
+  for (const Incarnation& incarnation : answer.departed) {
+    Pack(packer, incarnation);
+  }
+}
+
+DepartureRequest UnpackDepartureRequest(const msgpack::object& object) {
+  Reader reader(object);
+  DepartureRequest request;
+  reader.Take(request.node);
+  reader.Take(request.epoch);
+  request.departed = UnpackIncarnation(reader.Take());
+  reader.Take(request.is_forwarded);
+  return request;
+}
+
+DepartureAnswer UnpackDepartureAnswer(const msgpack::object& object) {
+  Reader reader(object);
+  DepartureAnswer answer;
+  reader.Take(answer.epoch);
+  Reader departed(reader.Take());
+  while (!departed.IsAtEnd()) {
+    answer.departed.push_back(UnpackIncarnation(departed.Take()));
+  }
+  return answer;
+}
+
 SyncRequest UnpackRequest(const msgpack::object& object) {
   Reader reader(object);
   SyncRequest request;
@@ -190,6 +242,12 @@
     if (type == 1) {
       return UnpackAnswer(reader.Take());
     }
+    if (type == 2) {
+      return UnpackDepartureRequest(reader.Take());
+    }
+    if (type == 3) {
+      return UnpackDepartureAnswer(reader.Take());
+    }
     throw DirectoryError(fmt::format("unknown message type {}", type));
   } catch (const DirectoryError&) {
     throw;
--- a/libraries/directory/messages.h
+++ b/libraries/directory/messages.h
@@ -98,8 +98,25 @@
   std::string zone;                  ///< Of the control host.
 };
 
+/**
+ * Of a node: asks which instance processes are recorded as having left it, and, if it names one, to
+ * record that first. Control hosts forward it once, to the leader.
+ */
+struct DepartureRequest {
+  std::string node;
+  std::uint64_t epoch = 0;  ///< Of the node's process.
+  Incarnation departed;     ///< Process to record; without an id, nothing is recorded.
+  bool is_forwarded = false;
+};
+
+/** Answer of the leader to a DepartureRequest. */
+struct DepartureAnswer {
+  std::uint64_t epoch = 0;  ///< Of the request.
+  std::vector<Incarnation> departed;
+};
+
 /** Any directory message. */
-using Message = std::variant<SyncRequest, SyncAnswer>;
+using Message = std::variant<SyncRequest, SyncAnswer, DepartureRequest, DepartureAnswer>;
 
 /** @return @p message in its wire format. */
 std::string Encode(const Message& message);
--- a/libraries/mesh/control_node.cc
+++ b/libraries/mesh/control_node.cc
@@ -1,5 +1,6 @@
 #include "libraries/mesh/control_node.h"
 
+#include <algorithm>
 #include <random>
 #include <utility>
 
@@ -27,6 +28,8 @@
 constexpr std::chrono::milliseconds kMaximumStopTime{1500};
 // Bounds the size of a log line; more changes than this come from a review of the whole text.
 constexpr std::size_t kMaximumLoggedChanges = 12;
+// Bounds the memory that the departures of a large fleet take.
+constexpr std::size_t kMaximumIdBytes = 256;
 constexpr std::size_t kMaximumDeclarationBytes = std::size_t{4} << 20U;
 
 std::uint64_t RandomEpoch() {
@@ -132,6 +135,10 @@
     const directory::Message message = directory::Decode(payload);
     if (const auto* request = std::get_if<directory::SyncRequest>(&message)) {
       HandleSync(from, *request);
+    } else if (const auto* departure = std::get_if<directory::DepartureRequest>(&message)) {
+      HandleDeparture(*departure);
+    } else if (std::holds_alternative<directory::DepartureAnswer>(message)) {
+      throw directory::DirectoryError("departures are for nodes");
     } else if (OtherControlHosts().contains(from)) {
       directory_.Receive(from, std::get<directory::SyncAnswer>(message), clock_());
     } else {
@@ -165,6 +172,48 @@
   peers_->SendControl(PeerAddressOf(from), wire::Channel::kMembership, directory::Encode(answer));
 }
 
+void ControlNode::HandleDeparture(const directory::DepartureRequest& request) {
+  if (request.node.size() > kMaximumIdBytes || request.departed.instance.size() > kMaximumIdBytes) {
+    throw directory::DirectoryError("the name of a node or an instance is too long");
+  }
+  const control_member::MemberStatus status = member_->status();
+  if (status.replica_host.soft_state.role != consensus::Role::kLeader) {
+    if (!request.is_forwarded && !status.leader.empty()) {
+      directory::DepartureRequest forwarded = request;
+      forwarded.is_forwarded = true;
+      peers_->SendControl(PeerAddressOf(status.leader), wire::Channel::kMembership,
+                          directory::Encode(forwarded));
+    }
+    return;
+  }
+  const directory::Departure departure{request.node, request.departed};
+  if (request.departed.instance.empty() || member_->departures().Contains(departure)) {
+    SendDepartures(request.node, request.epoch);
+    return;
+  }
+  if (std::find(proposed_departures_.begin(), proposed_departures_.end(), departure) !=
+      proposed_departures_.end()) {
+    return;
+  }
+  proposed_departures_.push_back(departure);
+  member_->RecordDeparture(departure, [this, departure, epoch = request.epoch](bool is_recorded) {
+    std::erase(proposed_departures_, departure);
+    if (is_recorded) {
+      SendDepartures(departure.node, epoch);
+    }
+  });
+}
+
+void ControlNode::SendDepartures(const std::string& node, std::uint64_t epoch) {
+  member_->ReadDepartures([this, node, epoch](const directory::DepartureRegister* newest) {
+    if (newest != nullptr) {
+      peers_->SendControl(
+          PeerAddressOf(node), wire::Channel::kMembership,
+          directory::Encode(directory::DepartureAnswer{epoch, newest->DeparturesAt(node)}));
+    }
+  });
+}
+
 std::set<std::string> ControlNode::OtherControlHosts() const {
   const std::vector<std::string> hosts = member_->ControlHosts();
   std::set<std::string> others(hosts.begin(), hosts.end());
--- a/libraries/mesh/control_node.h
+++ b/libraries/mesh/control_node.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "libraries/control_member/control_member.h"
 #include "libraries/mesh/dialect.h"
@@ -37,6 +38,8 @@
   std::set<std::string> OtherControlHosts() const;
   void SendToControlHosts(const directory::SyncAnswer& changes);
   void HandleSync(const std::string& from, const directory::SyncRequest& request);
+  void HandleDeparture(const directory::DepartureRequest& request);
+  void SendDepartures(const std::string& node, std::uint64_t epoch);
   void HandleCall(const http_stream::RequestMessage& message,
                   const http_stream::Exchange& exchange);
   void HandleReplace(const ReplaceCall& call, const std::string& target,
@@ -57,6 +60,8 @@
   directory::ControlDirectory directory_;
   std::unique_ptr<transport::PeerTransport> peers_;
   std::unique_ptr<control_member::Member> member_;
+  // Departures that are proposed and not yet committed; nodes repeat their requests meanwhile.
+  std::vector<directory::Departure> proposed_departures_;
   std::unique_ptr<http_stream::Server> call_server_;
   std::unique_ptr<http_stream::Server> metrics_server_;
   bool is_draining_ = false;
--- a/libraries/mesh/directory_sync.cc
+++ b/libraries/mesh/directory_sync.cc
@@ -202,6 +202,17 @@
   }
 }
 
+std::vector<std::string> DirectorySync::HostsToReach() const {
+  if (!second_.empty() && !NeedsOthers()) {
+    return {preferred_, second_};
+  }
+  std::vector<std::string> all;
+  for (const auto& [name, host] : hosts_) {
+    all.push_back(name);
+  }
+  return all;
+}
+
 std::size_t DirectorySync::reachable_hosts() const {
   return static_cast<std::size_t>(std::count_if(
       hosts_.begin(), hosts_.end(), [](const auto& known) { return known.second.has_answered; }));
--- a/libraries/mesh/directory_sync.h
+++ b/libraries/mesh/directory_sync.h
@@ -59,6 +59,11 @@
   std::uint64_t version() const { return version_; }
   /** @return Number of control hosts whose last answer has not expired. */
   std::size_t reachable_hosts() const;
+  /**
+   * @return Control hosts at which a message that must arrive soon is sent: the two that answer
+   *     best, and all known ones while fewer than two answer.
+   */
+  std::vector<std::string> HostsToReach() const;
   /** @return Control host that records are fetched from; empty if none has answered. */
   const std::string& preferred_host() const { return preferred_; }
 
--- a/libraries/mesh/mesh_node.cc
+++ b/libraries/mesh/mesh_node.cc
@@ -142,6 +142,12 @@
       const directory::Message message = directory::Decode(payload);
       if (const auto* answer = std::get_if<directory::SyncAnswer>(&message)) {
         sync_->Receive(from, *answer);
+      } else if (const auto* departures = std::get_if<directory::DepartureAnswer>(&message)) {
+        const bool had_recalled = departures_->has_recalled();
+        departures_->Receive(*departures);
+        if (!had_recalled) {
+          PublishRecord();
+        }
       }
     } catch (const directory::DirectoryError& error) {
       base::Log(base::LogLevel::kWarning, "directory_message_refused",
@@ -159,6 +165,15 @@
   };
   sync_ =
       std::make_unique<DirectorySync>(settings.zone, SeedNodes(settings), std::move(sync_hooks));
+  DepartureKeeperHooks departure_hooks;
+  departure_hooks.clock = clock_;
+  departure_hooks.send = [this](const std::string& bytes) {
+    for (const std::string& host : sync_->HostsToReach()) {
+      peers_->SendControl(PeerAddressOf(host), wire::Channel::kMembership, bytes);
+    }
+  };
+  departures_ =
+      std::make_unique<DepartureKeeper>(node_, epoch_, instance_, std::move(departure_hooks));
   transport::TransportOptions peer_options = PeerOptions(settings);
   // Traffic within a zone is cheap; traffic between zones is worth the CPU time to compress it.
   peer_options.crosses_zones = [this](const std::string& node) {
@@ -198,6 +213,9 @@
     metrics_server_->Listen(*settings.metrics);
   }
   PollControlHosts();
+  departures_->Start();
+  loop_.timers().SubscribeEvery(DepartureKeeper::kPollInterval,
+                                [this](base::TimePoint) { departures_->Poll(); });
   loop_.timers().SubscribeEvery(kCheckInterval, [this](base::TimePoint) {
     peers_->CheckHeartbeats();
     CheckInstance();
@@ -237,12 +255,11 @@
     const bool is_ready = entry_->version() > 0 && !draining_since_;
     status = is_ready ? kOk : kServiceUnavailable;
   } else if (const auto* heartbeat = std::get_if<HeartbeatCall>(&call)) {
-    status = HandleHeartbeat(*heartbeat);
-    body = status == kOk ? dialect_.acknowledgement : "";
+    HandleHeartbeat(*heartbeat, exchange);
+    return;
   } else if (const auto* leave = std::get_if<LeaveCall>(&call)) {
-    HandleLeave(*leave);
-    status = kOk;
-    body = dialect_.acknowledgement;
+    HandleLeave(*leave, exchange);
+    return;
   } else if (const auto* refused = std::get_if<RefusedCall>(&call)) {
     status = refused->status;
     body = refused->reason;
@@ -252,12 +269,13 @@
   exchange.Respond(MakeResponse(status, std::move(body), dialect_.content_type));
 }
 
-unsigned MeshNode::HandleHeartbeat(const HeartbeatCall& call) {
+void MeshNode::HandleHeartbeat(const HeartbeatCall& call, const http_stream::Exchange& exchange) {
   const std::string previous_instance = instance_.instance();
   const bool was_leaving = instance_.leaving_since().has_value();
   const directory::HeartbeatOutcome outcome = instance_.HandleHeartbeat(call.heartbeat, clock_());
   if (outcome == directory::HeartbeatOutcome::kOtherService) {
-    return kBadRequest;
+    exchange.Respond(MakeResponse(kBadRequest, "", dialect_.content_type));
+    return;
   }
   if (outcome == directory::HeartbeatOutcome::kTaken) {
     const bool is_replaced = previous_instance != instance_.instance();
@@ -275,16 +293,47 @@
     }
   }
   PublishRecord();
-  return kOk;
+  if (call.heartbeat.state == directory::InstanceState::kLeaving) {
+    AcknowledgeDeparture({call.heartbeat.instance, call.heartbeat.born}, exchange);
+  } else {
+    Acknowledge(exchange);
+  }
 }
 
-void MeshNode::HandleLeave(const LeaveCall& call) {
+void MeshNode::HandleLeave(const LeaveCall& call, const http_stream::Exchange& exchange) {
   const bool is_known = instance_.HandleLeave(call.incarnation, clock_());
   base::Log(base::LogLevel::kInfo, "instance_left",
             {{"instance", call.incarnation.instance},
              {"born", static_cast<Json::UInt64>(call.incarnation.born)},
              {"known", is_known}});
   PublishRecord();
+  directory::Incarnation departed = call.incarnation;
+  if (departed.born == 0 && is_known) {
+    departed = instance_.incarnation();
+  }
+  AcknowledgeDeparture(departed, exchange);
+}
+
+// The sender counts on an acknowledged departure, so it is recorded where it outlives this process.
+void MeshNode::AcknowledgeDeparture(const directory::Incarnation& departed,
+                                    const http_stream::Exchange& exchange) {
+  if (departed.born == 0) {
+    // Without its start the process cannot be told from its successor, so there is nothing to keep.
+    Acknowledge(exchange);
+    return;
+  }
+  departures_->Record(departed, [this, exchange](RecordOutcome outcome) {
+    if (outcome == RecordOutcome::kRecorded) {
+      Acknowledge(exchange);
+    } else {
+      exchange.Respond(MakeResponse(kServiceUnavailable, "the departure is not recorded",
+                                    dialect_.content_type));
+    }
+  });
+}
+
+void MeshNode::Acknowledge(const http_stream::Exchange& exchange) {
+  exchange.Respond(MakeResponse(kOk, dialect_.acknowledgement, dialect_.content_type));
 }
 
 request_path::CancelHook MeshNode::Send(const directory::InstanceRecord& instance,
--- a/libraries/mesh/mesh_node.h
+++ b/libraries/mesh/mesh_node.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 
+#include "libraries/mesh/departure_keeper.h"
 #include "libraries/mesh/dialect.h"
 #include "libraries/mesh/directory_sync.h"
 #include "libraries/mesh/instance_probe.h"
@@ -42,8 +43,11 @@
                            const http_stream::Exchange& exchange);
   void HandleCall(const http_stream::RequestMessage& message,
                   const http_stream::Exchange& exchange);
-  unsigned HandleHeartbeat(const HeartbeatCall& call);
-  void HandleLeave(const LeaveCall& call);
+  void HandleHeartbeat(const HeartbeatCall& call, const http_stream::Exchange& exchange);
+  void HandleLeave(const LeaveCall& call, const http_stream::Exchange& exchange);
+  void AcknowledgeDeparture(const directory::Incarnation& departed,
+                            const http_stream::Exchange& exchange);
+  void Acknowledge(const http_stream::Exchange& exchange);
   request_path::CancelHook Send(const directory::InstanceRecord& instance, wire::Request request,
                                 request_path::ResponseHandler handler);
   void HandlePeerRequest(const transport::InboundRequestId& id, wire::Request request,
@@ -73,6 +77,7 @@
   std::string health_path_;  // Of the local upstream, from the declaration in force.
   std::unique_ptr<request_path::Entry> entry_;
   std::unique_ptr<DirectorySync> sync_;
+  std::unique_ptr<DepartureKeeper> departures_;
   std::unique_ptr<transport::PeerTransport> peers_;
   std::map<transport::InboundRequestId, request_path::GateTicket> inbound_;
   std::unique_ptr<http_stream::Server> caller_server_;
--- a/tests/control_member/member_test.cc
+++ b/tests/control_member/member_test.cc
@@ -265,6 +265,55 @@
   EXPECT_TRUE(world.AdvanceUntil(seconds(15), [&] { return world.HasAllVoters(); }));
 }
 
+// Guards against a departure that was acknowledged and is forgotten when all control hosts are
+// killed and two of them lose their disks, or when the log is replaced by a snapshot.
+TEST(MemberTest, RecordedDeparturesSurviveTheLossOfTwoDisks) {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    SCOPED_TRACE(seed);
+    World world(seed);
+    FormGroup(world);
+    ReplaceUntilAcknowledged(world, seconds(3));
+    const directory::Departure departure{"n1", {"i-1", seed}};
+    bool is_recorded = false;
+    ASSERT_TRUE(world.AdvanceUntil(seconds(5), [&] {
+      world.member(world.Leader()).RecordDeparture(departure, [&](bool recorded) {
+        is_recorded |= recorded;
+      });
+      world.Advance(milliseconds(100));
+      return is_recorded;
+    }));
+    std::vector<std::string> hosts = kHosts;
+    for (std::size_t i = hosts.size() - 1; i > 0; --i) {
+      std::swap(hosts[i], hosts[base::DrawBelow(world.random, i + 1)]);
+    }
+    for (std::size_t i = 0; i < hosts.size(); ++i) {
+      if (i < 2) {
+        world.WipeDisk(hosts[i]);
+      } else {
+        world.Kill(hosts[i], PowerLoss::kLoseUnsynced);
+      }
+    }
+    for (const std::string& host : hosts) {
+      world.Start(host, false);
+    }
+    ASSERT_TRUE(world.AdvanceUntil(seconds(10), [&] { return world.HasAllVoters(); }));
+    std::optional<std::vector<directory::Incarnation>> read;
+    world.member(world.Leader()).ReadDepartures([&](const directory::DepartureRegister* newest) {
+      if (newest != nullptr) {
+        read = newest->DeparturesAt("n1");
+      }
+    });
+    world.Advance(milliseconds(300));
+    ASSERT_TRUE(read);
+    EXPECT_EQ(*read, std::vector<directory::Incarnation>{departure.incarnation});
+    // The hosts that lost their disks have received it as well, in a snapshot or in the log.
+    for (const std::string& host : kHosts) {
+      EXPECT_TRUE(world.member(host).departures().Contains(departure)) << host;
+    }
+    ReplaceUntilAcknowledged(world, seconds(5));
+  }
+}
+
 // Guards against reading a stale declaration from the old leader during a network partition.
 TEST(MemberTest, PartitionedLeaderServesNoStaleRead) {
   for (std::uint64_t seed = 1; seed <= 10; ++seed) {
--- a/tests/directory/directory_test.cc
+++ b/tests/directory/directory_test.cc
@@ -160,6 +160,44 @@
             HeartbeatOutcome::kOtherService);
 }
 
+// Guards against a restarted node that serves an instance before it knows what its earlier process
+// has acknowledged, or takes one back into use that left then.
+TEST_F(LocalInstanceTest, ARestartedNodeServesNothingThatItsEarlierProcessLetGo) {
+  instance_.AwaitDepartures();
+  SendHeartbeat("i-1", 10, 5);
+  EXPECT_FALSE(instance_.is_known());
+  instance_.RecallDepartures({{"i-1", 10}});
+  EXPECT_TRUE(instance_.is_known());
+  EXPECT_EQ(instance_.leaving_since(), base::TimePoint{});
+  SendHeartbeat("i-1", 10, 6);
+  EXPECT_EQ(instance_.leaving_since(), base::TimePoint{});
+  SendHeartbeat("i-1", 20, 1);
+  EXPECT_FALSE(instance_.leaving_since());
+}
+
+// Guards against a memory of departures that grows with the age of the fleet, and against one that
+// forgets the departures of a quiet node for those of a busy one.
+TEST(DepartureRegisterTest, KeepsTheNewestOfEachNode) {
+  DepartureRegister departures;
+  departures.Add({"quiet", {"i-1", 1}});
+  for (std::uint64_t born = 1; born <= 100; ++born) {
+    departures.Add({"busy", {"i-2", born}});
+    departures.Add({"busy", {"i-2", born}});
+  }
+  EXPECT_EQ(departures.DeparturesAt("quiet"), (std::vector<Incarnation>{{"i-1", 1}}));
+  EXPECT_EQ(departures.DeparturesAt("busy"),
+            (std::vector<Incarnation>{{"i-2", 97}, {"i-2", 98}, {"i-2", 99}, {"i-2", 100}}));
+  DepartureRegister restored;
+  restored.Add({"other", {"i-3", 1}});
+  restored.Restore(departures.Snapshot());
+  EXPECT_EQ(restored.Snapshot(), departures.Snapshot());
+  EXPECT_FALSE(restored.Contains({"other", {"i-3", 1}}));
+  EXPECT_THROW(restored.Restore("\x93"), DirectoryError);
+  EXPECT_THROW(DecodeDeparture("x"), DirectoryError);
+  const Departure departure{"n", {"i", 7}};
+  EXPECT_EQ(DecodeDeparture(EncodeDeparture(departure)), departure);
+}
+
 InstanceRecord Record(const std::string& node, std::uint64_t epoch, std::uint64_t revision) {
   InstanceRecord record;
   record.node = node;
