--- a/libraries/consensus/raft_log.cc
+++ b/libraries/consensus/raft_log.cc
@@ -133,13 +133,17 @@
   memberships_.assign(1, {snapshot_->index, snapshot_->membership});
 }
 
-void RaftLog::Compact(SnapshotPointer snapshot, std::uint64_t retained) {
+void RaftLog::Compact(SnapshotPointer snapshot, std::uint64_t retained,
+                      std::uint64_t retained_bytes) {
   VERIFY(snapshot->index <= commit_);
   VERIFY(snapshot->index >= snapshot_->index);
   VERIFY(Matches(snapshot->index, snapshot->term));
   snapshot_ = std::move(snapshot);
-  const Index new_base =
-      std::max(base_index_, snapshot_->index - std::min(retained, snapshot_->index));
+  Index new_base = std::max(base_index_, snapshot_->index - std::min(retained, snapshot_->index));
+  const std::uint64_t bytes_above = BytesAfter(snapshot_->index);
+  while (new_base < snapshot_->index && BytesAfter(new_base) - bytes_above > retained_bytes) {
+    ++new_base;
+  }
   if (new_base > base_index_) {
     base_term_ = *TermAt(new_base);
     base_bytes_ = At(new_base).end_bytes;
--- a/libraries/consensus/raft_log.h
+++ b/libraries/consensus/raft_log.h
@@ -54,6 +54,9 @@
   /** @return Entries from @p first to @p last, limited to @p max_bytes except for the first one. */
   std::vector<Entry> Slice(Index first, Index last, std::size_t max_bytes) const;
 
+  /** @return Size in bytes of all entries held, including a fixed overhead per entry. */
+  std::uint64_t bytes() const { return BytesAfter(base_index_); }
+
   /** @return Size in bytes of the entries above @p index, including a fixed overhead per entry. */
   std::uint64_t BytesAfter(Index index) const;
 
@@ -76,8 +79,9 @@
    * Adopts a snapshot of this replica's own state machine and discards entries up to its index.
    * @param snapshot Snapshot at a committed index.
    * @param retained Number of entries up to the snapshot's index to keep for slow followers.
+   * @param retained_bytes Limit of the size of those entries.
    */
-  void Compact(SnapshotPointer snapshot, std::uint64_t retained);
+  void Compact(SnapshotPointer snapshot, std::uint64_t retained, std::uint64_t retained_bytes);
 
   /** @return Latest membership in the log, committed or not. */
   const Membership& membership() const { return memberships_.back().second; }
--- a/libraries/consensus/replica.cc
+++ b/libraries/consensus/replica.cc
@@ -145,7 +145,7 @@
 
 void Replica::Compact(SnapshotPointer snapshot) {
   if (snapshot->index > snapshot_index()) {
-    log_.Compact(std::move(snapshot), options_.retained_entries);
+    log_.Compact(std::move(snapshot), options_.retained_entries, options_.retained_bytes);
   }
 }
 
--- a/libraries/consensus/replica.h
+++ b/libraries/consensus/replica.h
@@ -130,6 +130,10 @@
   Index last_index() const { return log_.last_index(); }
   /** @return Index of the latest snapshot. */
   Index snapshot_index() const { return log_.snapshot()->index; }
+  /** @return Size in bytes of the log in memory. */
+  std::uint64_t log_bytes() const { return log_.bytes(); }
+  /** @return Size in bytes of the log above the latest snapshot. */
+  std::uint64_t bytes_since_snapshot() const { return log_.BytesAfter(snapshot_index()); }
   /** @return Term of the entry at @p index, or nothing if it is not in the log. */
   std::optional<Term> TermAt(Index index) const { return log_.TermAt(index); }
   /** @return Membership in force, which may be uncommitted. */
--- a/libraries/consensus/replica_options.h
+++ b/libraries/consensus/replica_options.h
@@ -40,6 +40,8 @@
   std::size_t snapshot_chunk_bytes = std::size_t{256} << 10U;
   /** Entries retained up to a snapshot, so that a short outage needs no snapshot transfer. */
   std::uint64_t retained_entries = 64;
+  /** Limit of the size of those entries. */
+  std::uint64_t retained_bytes = std::uint64_t{4} << 20U;
   /** A learner counts as caught up when it lacks at most this many entries. */
   std::uint64_t catch_up_entries = 64;
 };
--- a/libraries/mesh/control_node.cc
+++ b/libraries/mesh/control_node.cc
@@ -377,6 +377,8 @@
   text.Add("borageloft_control_voters", "Voters of the group",
            status.replica_host.membership.voter_count());
   text.Add("borageloft_control_commit", "Committed index", status.replica_host.commit);
+  text.Add("borageloft_control_log_bytes", "Size of the log in memory",
+           status.replica_host.log_bytes);
   text.Add("borageloft_control_applied", "Applied index", status.replica_host.applied);
   text.Add("borageloft_control_storage_failures_total", "Failures of the storage",
            status.replica_host.storage_failures);
--- a/libraries/replication/host_status.h
+++ b/libraries/replication/host_status.h
@@ -24,6 +24,7 @@
   consensus::Index applied = 0;
   consensus::Term applied_term = 0;  // Term of the last applied entry, or 0 if unknown.
   consensus::Index snapshot_index = 0;
+  std::uint64_t log_bytes = 0;       // Size of the log in memory.
   consensus::Membership membership;  // The newest; it may still be undone while it is pending.
   bool has_pending_membership = false;
   std::uint64_t appends = 0;  // Calls of ReplicaStorage::append.
--- a/libraries/replication/persist_loop.cc
+++ b/libraries/replication/persist_loop.cc
@@ -183,8 +183,9 @@
 void ReplicaHost::TakeSnapshot() {
   {
     const std::scoped_lock lock(mutex_);
-    if (replica_->applied() != applied_ ||
-        applied_ < replica_->snapshot_index() + options_.snapshot_interval) {
+    const bool is_due = applied_ >= replica_->snapshot_index() + options_.snapshot_interval ||
+                        replica_->bytes_since_snapshot() >= options_.snapshot_log_bytes;
+    if (!is_due || replica_->applied() != applied_ || applied_ == replica_->snapshot_index()) {
       return;
     }
   }
--- a/libraries/replication/replica_host.cc
+++ b/libraries/replication/replica_host.cc
@@ -170,6 +170,7 @@
     status.commit = replica_->commit();
     status.applied_term = replica_->TermAt(applied_).value_or(0);
     status.snapshot_index = replica_->snapshot_index();
+    status.log_bytes = replica_->log_bytes();
     status.membership = replica_->membership();
     status.has_pending_membership = replica_->HasPendingMembership();
   }
--- a/libraries/replication/replica_host_options.h
+++ b/libraries/replication/replica_host_options.h
@@ -22,6 +22,11 @@
   base::Duration reopen_interval = std::chrono::seconds(1);
   /** Number of entries applied between two snapshots. */
   std::uint64_t snapshot_interval = 512;
+  /**
+   * Size of the log above the latest snapshot at which the next one is taken earlier than that. The
+   * log is kept in memory, and is read whole at a start.
+   */
+  std::uint64_t snapshot_log_bytes = std::uint64_t{8} << 20U;
   /** Whether the leader promotes learners that have caught up and replaces members with them. */
   bool promotes_learners = true;
   /** Desired number of voters; further learners remain spares. 0 means no limit. */
--- a/tests/replication/replica_host_test.cc
+++ b/tests/replication/replica_host_test.cc
@@ -128,6 +128,38 @@
   int sequence_ = 0;
 };
 
+// Guards against a log in memory that grows with the size of the commands: after some hundred
+// changes of a large declaration the control hosts exceeded their memory, and again at each start.
+TEST_F(ReplicaHostTest, TheLogInMemoryIsBoundedInBytes) {
+  constexpr std::size_t kCommandBytes = 200'000;
+  // The log since the snapshot, the retained entries, and as much uncommitted as is accepted.
+  constexpr std::uint64_t kExpectedBytes = std::uint64_t{24} << 20U;
+  for (auto& [id, node] : nodes_) {
+    node.host.reset();
+  }
+  nodes_.clear();
+  options_.snapshot_interval = 512;
+  for (ReplicaId id = 1; id <= 3; ++id) {
+    Start(id, {StartMode::kBootstrap, id, founders_});
+  }
+  std::uint64_t most = 0;
+  for (int i = 0; i < 200; ++i) {
+    // The state machine of this test keeps all commands, which would fill its snapshots.
+    HostOf(Leader()).Propose(std::string(kCommandBytes, 'x'), Collect());
+    AdvanceTime(milliseconds(20));
+    for (auto& [id, node] : nodes_) {
+      most = std::max(most, node.host->status().log_bytes);
+      std::erase_if(node.commands, [](const std::string& command) { return command.size() > 10; });
+    }
+  }
+  EXPECT_GT(most, kCommandBytes);
+  EXPECT_LE(most, kExpectedBytes);
+  for (ReplicaId id = 1; id <= 3; ++id) {
+    Start(id, {StartMode::kRestart, consensus::kNoReplica, {}});
+    EXPECT_LE(HostOf(id).status().log_bytes, kExpectedBytes) << id;
+  }
+}
+
 // Guards against a committed proposal without its result, and against diverging replicas.
 TEST_F(ReplicaHostTest, CommitsAndAppliesOnAllHosts) {
   Commit(3);
