ControlMember: Refuse a declaration that looks like a departure in the log

An operator's order on base 2^64-1 would have been written to the log, taken for a departure when it was applied, and ended every control host there and again at each start.

Cause: departures are told from declarations by eight bytes of 0xff at the start, where a declaration has its base, and nothing kept a base from being that number. An unreadable departure threw out of the apply step, which ends the process.

Change: such an order is refused as built on another version (no declaration can follow the highest one), and a departure that cannot be read is logged and skipped, on all hosts alike.

MemberTest.ADeclarationOnTheHighestVersionIsRefused ended its process before ("terminate called ... malformed departure") and passes.

--- a/libraries/control_member/member.cc
+++ b/libraries/control_member/member.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <limits>
 #include <set>
 #include <utility>
 
@@ -18,8 +19,8 @@
 constexpr std::chrono::milliseconds kInquiryInterval{1000};
 // Separates the address of a host from the random number of its disk in a storage name.
 constexpr char kStorageSeparator = '#';
-// Begins a departure in the log, and a snapshot with departures. A declaration begins with its
-// version in eight bytes, which is never as high.
+// Begins a departure in the log, and a snapshot with departures. A command begins with its base in
+// eight bytes instead, and an earlier snapshot with its version; neither is as high.
 constexpr std::string_view kDepartureMark = "\xff\xff\xff\xff\xff\xff\xff\xff";
 // Length of the departures in a snapshot, as hexadecimal digits.
 constexpr std::size_t kLengthDigits = 8;
@@ -328,15 +329,23 @@
       });
 }
 
-std::string Member::Apply(const std::string& bytes) {
-  if (bytes.starts_with(kDepartureMark)) {
-    const directory::Departure departure =
-        directory::DecodeDeparture(std::string_view(bytes).substr(kDepartureMark.size()));
+void Member::ApplyDeparture(std::string_view bytes) {
+  try {
+    const directory::Departure departure = directory::DecodeDeparture(bytes);
     departures_.Add(departure);
     base::Log(base::LogLevel::kInfo, "departure_recorded",
               {{"node", departure.node},
                {"instance", departure.incarnation.instance},
                {"born", static_cast<Json::UInt64>(departure.incarnation.born)}});
+  } catch (const directory::DirectoryError& error) {
+    // A committed entry is applied by every host at each start, so it must not end the process.
+    base::Log(base::LogLevel::kError, "departure_unreadable", {{"error", error.what()}});
+  }
+}
+
+std::string Member::Apply(const std::string& bytes) {
+  if (bytes.starts_with(kDepartureMark)) {
+    ApplyDeparture(std::string_view(bytes).substr(kDepartureMark.size()));
     return "";
   }
   const declaration::ReplaceCommand command = declaration::DecodeCommand(bytes);
@@ -405,6 +414,11 @@
     callback(ReplaceStatus::kNotLeader);
     return;
   }
+  // No declaration builds on the highest version, and its encoding is that of a departure.
+  if (command.base == std::numeric_limits<declaration::Version>::max()) {
+    callback(ReplaceStatus::kWrongBase);
+    return;
+  }
   // While one voter is being replaced, a majority of the remaining 2 * tolerated_losses voters
   // still has one disk more than may be lost. Before the first declaration all voters are required,
   // because the group is still forming.
--- a/libraries/control_member/member.h
+++ b/libraries/control_member/member.h
@@ -144,6 +144,7 @@
   void SendJoinRequests();
   void HandleJoinRequest(const std::string& from, const JoinRequest& request);
   std::string Apply(const std::string& command);
+  void ApplyDeparture(std::string_view bytes);
   std::string Snapshot() const;
   void Restore(std::string_view data);
   std::string AddressOf(consensus::ReplicaId replica) const;
--- a/tests/control_member/member_test.cc
+++ b/tests/control_member/member_test.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <limits>
 
 #include "tests/control_member/world.h"
 
@@ -314,6 +315,22 @@
   }
 }
 
+// Guards against a declaration whose base makes it look like a departure in the log, which would
+// end every control host each time it is applied.
+TEST(MemberTest, ADeclarationOnTheHighestVersionIsRefused) {
+  World world(11);
+  FormGroup(world);
+  ReplaceUntilAcknowledged(world, seconds(3));
+  std::optional<ReplaceStatus> status;
+  constexpr auto kHighest = std::numeric_limits<declaration::Version>::max();
+  world.member(world.Leader()).Replace({kHighest, kHighest, "text"}, [&](ReplaceStatus result) {
+    status = result;
+  });
+  world.Advance(seconds(1));
+  EXPECT_EQ(status, ReplaceStatus::kWrongBase);
+  ReplaceUntilAcknowledged(world, seconds(3));
+}
+
 // Guards against reading a stale declaration from the old leader during a network partition.
 TEST(MemberTest, PartitionedLeaderServesNoStaleRead) {
   for (std::uint64_t seed = 1; seed <= 10; ++seed) {
