Tests: Share the power loss with two lost disks of the control group

Two tests of the control group wrote the same power loss out; it is one function now. The second one starts the hosts up to 300 ms apart as well, as the first did.

--- a/tests/control_member/member_test.cc
+++ b/tests/control_member/member_test.cc
@@ -32,6 +32,26 @@
   }));
 }
 
+// All hosts lose power at once, two of them their disks as well, and start again one after the
+// other.
+void RestartAllWithTwoLostDisks(World& world) {
+  std::vector<std::string> hosts = kHosts;
+  for (std::size_t i = hosts.size() - 1; i > 0; --i) {
+    std::swap(hosts[i], hosts[base::DrawBelow(world.random, i + 1)]);
+  }
+  for (std::size_t i = 0; i < hosts.size(); ++i) {
+    if (i < 2) {
+      world.WipeDisk(hosts[i]);
+    } else {
+      world.Kill(hosts[i], PowerLoss::kLoseUnsynced);
+    }
+  }
+  for (const std::string& host : hosts) {
+    world.Start(host, false);
+    world.Advance(milliseconds(base::DrawBelow(world.random, 300)));
+  }
+}
+
 // Guards against a group that cannot form from its seeds alone before the first declaration
 // arrives.
 TEST(MemberTest, SeedsFormTheGroupAndOtherHostsJoin) {
@@ -69,21 +89,7 @@
     for (int replacement = 0; replacement < 3; ++replacement) {
       ReplaceUntilAcknowledged(world, seconds(3));
     }
-    std::vector<std::string> hosts = kHosts;
-    for (std::size_t i = hosts.size() - 1; i > 0; --i) {
-      std::swap(hosts[i], hosts[base::DrawBelow(world.random, i + 1)]);
-    }
-    for (std::size_t i = 0; i < hosts.size(); ++i) {
-      if (i < 2) {
-        world.WipeDisk(hosts[i]);
-      } else {
-        world.Kill(hosts[i], PowerLoss::kLoseUnsynced);
-      }
-    }
-    for (const std::string& host : hosts) {
-      world.Start(host, false);
-      world.Advance(milliseconds(base::DrawBelow(world.random, 300)));
-    }
+    RestartAllWithTwoLostDisks(world);
     ASSERT_TRUE(world.AdvanceUntil(seconds(10), [&] { return world.HasAllVoters(); }));
     world.CheckReads();
     world.Advance(seconds(1));
@@ -283,20 +289,7 @@
       world.Advance(milliseconds(100));
       return is_recorded;
     }));
-    std::vector<std::string> hosts = kHosts;
-    for (std::size_t i = hosts.size() - 1; i > 0; --i) {
-      std::swap(hosts[i], hosts[base::DrawBelow(world.random, i + 1)]);
-    }
-    for (std::size_t i = 0; i < hosts.size(); ++i) {
-      if (i < 2) {
-        world.WipeDisk(hosts[i]);
-      } else {
-        world.Kill(hosts[i], PowerLoss::kLoseUnsynced);
-      }
-    }
-    for (const std::string& host : hosts) {
-      world.Start(host, false);
-    }
+    RestartAllWithTwoLostDisks(world);
     ASSERT_TRUE(world.AdvanceUntil(seconds(10), [&] { return world.HasAllVoters(); }));
     std::optional<std::vector<directory::Incarnation>> read;
     world.member(world.Leader()).ReadDepartures([&](const directory::DepartureRegister* newest) {
