Mesh, ControlMember: Log what a started process is waiting for

A node logs node_waiting once a second until it can answer, with what is missing, and node_serving with the time it took; borageloft_startup_waits counts the same. A control host that is not current logs control_waiting once a second, with the voters that are silent and the hosts that it contacts. No decision changes.

--- a/libraries/control_member/member.cc
+++ b/libraries/control_member/member.cc
@@ -134,7 +134,10 @@
 
 void Member::Start() {
   inquiry_timer_ =
-      timers_.SubscribeEvery(kInquiryInterval, [this](base::TimePoint) { SendInquiries(); });
+      timers_.SubscribeEvery(kInquiryInterval, [this](base::TimePoint) {
+        LogWait();
+        SendInquiries();
+      });
   try {
     if (replication::LoadConsistent(storage_->Hooks())) {
       StartReplica({replication::StartMode::kRestart, consensus::kNoReplica, {}}, "restart");
@@ -185,13 +188,17 @@
   if (is_replica_started_) {
     return;
   }
-  for (const std::string& seed : options_.seeds) {
-    if (seed != options_.address) {
-      Send(seed, JoinRequest{storage_name_, false});
-    }
+  for (const std::string& host : HostsToContact()) {
+    Send(host, JoinRequest{storage_name_, false});
   }
 }
 
+std::set<std::string> Member::HostsToContact() const {
+  std::set<std::string> hosts(options_.seeds.begin(), options_.seeds.end());
+  hosts.erase(options_.address);
+  return hosts;
+}
+
 void Member::Receive(const std::string& from, std::string_view bytes) {
   try {
     const FormationMessage message = DecodeFormationMessage(bytes);
@@ -216,6 +223,7 @@
 
 void Member::HandleReplicationMessage(const std::string& from, const ReplicationMessage& message) {
   learned_addresses_[message.sender] = from;
+  heard_at_[message.sender] = hooks_.clock();
   if (!is_replica_started_) {
     return;
   }
@@ -235,6 +243,32 @@
          replica < status.membership.next_id();
 }
 
+void Member::LogWait() const {
+  if (IsCurrent()) {
+    return;
+  }
+  const replication::HostStatus status = replica_host_->status();
+  const bool has_leader = status.soft_state.leader != consensus::kNoReplica;
+  Json::Value silent(Json::arrayValue);
+  for (const auto& [replica, member] : status.membership.members()) {
+    const auto heard = heard_at_.find(replica);
+    const bool is_silent =
+        heard == heard_at_.end() || hooks_.clock() - heard->second >= kInquiryInterval;
+    if (member.is_voter && replica != status.replica && is_silent) {
+      silent.append(AddressOfStorage(member.host));
+    }
+  }
+  Json::Value contacted(Json::arrayValue);
+  for (const std::string& host : HostsToContact()) {
+    contacted.append(host);
+  }
+  base::Log(base::LogLevel::kInfo, "control_waiting",
+            {{"for", !is_replica_started_ ? "admission" : has_leader ? "entries" : "leader"},
+             {"voters", static_cast<Json::UInt64>(status.membership.voter_count())},
+             {"silent_voters", silent},
+             {"contacted", contacted}});
+}
+
 // A removed voter learns of its removal when it campaigns. A removed learner never does, and the
 // members that a removed voter knows may all have been replaced.
 void Member::SendInquiries() {
@@ -245,10 +279,8 @@
   if (status.soft_state.leader != consensus::kNoReplica) {
     return;
   }
-  for (const std::string& seed : options_.seeds) {
-    if (seed != options_.address) {
-      Send(seed, MembershipInquiry{options_.address, status.replica, false});
-    }
+  for (const std::string& host : HostsToContact()) {
+    Send(host, MembershipInquiry{options_.address, status.replica, false});
   }
 }
 
--- a/libraries/control_member/member.h
+++ b/libraries/control_member/member.h
@@ -2,7 +2,10 @@
 #define BORAGELOFT_CONTROL_MEMBER_MEMBER_H_
 
 #include <functional>
+#include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -141,7 +144,11 @@
   void HandleRemovalNotice(const RemovalNotice& removal);
   void HandleInquiry(const std::string& from, const MembershipInquiry& inquiry);
   void SendInquiries();
+  // Logs what keeps this host from being current.
+  void LogWait() const;
   void SendJoinRequests();
+  // Control hosts to contact while this host follows no leader.
+  std::set<std::string> HostsToContact() const;
   void HandleJoinRequest(const std::string& from, const JoinRequest& request);
   std::string Apply(const std::string& command);
   void ApplyDeparture(std::string_view bytes);
@@ -165,6 +172,8 @@
   directory::DepartureRegister departures_;
   std::string storage_name_;  // Name under which this host's disk asks to join.
   bool is_replica_started_ = false;
+  // Time of the last message by replica, for the log.
+  std::map<consensus::ReplicaId, base::TimePoint> heard_at_;
   // Addresses from which replicas sent messages.
   std::map<consensus::ReplicaId, std::string> learned_addresses_;
   std::optional<timer::SubscriptionId> join_timer_;
--- a/libraries/mesh/mesh_node.cc
+++ b/libraries/mesh/mesh_node.cc
@@ -219,6 +219,7 @@
   loop_.timers().SubscribeEvery(kCheckInterval, [this](base::TimePoint) {
     peers_->CheckHeartbeats();
     CheckInstance();
+    startup_report_.Check(startup_state(), clock_());
     CheckDrained();
   });
   PublishRecord();
@@ -472,6 +473,16 @@
   PublishRecord();
 }
 
+StartupState MeshNode::startup_state() const {
+  StartupState state;
+  state.control_hosts = sync_->reachable_hosts();
+  state.has_declaration = entry_->version() > 0;
+  state.has_recalled_departures = departures_->has_recalled();
+  state.has_instance = instance_.is_known();
+  state.instances = sync_->view().records().size();
+  return state;
+}
+
 void MeshNode::HandleSettings(const MeshSettings& settings) {
   sync_->SetSeeds(SeedNodes(settings));
 }
@@ -543,6 +554,8 @@
   text.Add("borageloft_declaration_version", "Declaration in force", entry_->version());
   text.Add("borageloft_instances_known", "Instances in the directory",
            sync_->view().records().size());
+  text.Add("borageloft_startup_waits", "Things that the node lacks to answer requests",
+           FindWaits(startup_state()).size());
   text.Add("borageloft_control_hosts", "Control hosts that answered lately",
            sync_->reachable_hosts());
   text.Add("borageloft_log_lines_dropped_total", "Log lines beyond the bound", log_.dropped());
--- a/libraries/mesh/mesh_node.h
+++ b/libraries/mesh/mesh_node.h
@@ -12,6 +12,7 @@
 #include "libraries/mesh/instance_probe.h"
 #include "libraries/mesh/mesh_settings.h"
 #include "libraries/mesh/node_loop.h"
+#include "libraries/mesh/startup_report.h"
 
 namespace borageloft::mesh {
 
@@ -58,6 +59,7 @@
   void PublishRecord();
   bool IsWithdrawn() const;
   void CheckInstance();
+  StartupState startup_state() const;
   void CheckDrained();
   void RespondMetrics(const http_stream::Exchange& exchange);
 
@@ -79,6 +81,7 @@
   std::unique_ptr<DirectorySync> sync_;
   std::unique_ptr<DepartureKeeper> departures_;
   std::unique_ptr<transport::PeerTransport> peers_;
+  StartupReport startup_report_{clock_()};
   std::map<transport::InboundRequestId, request_path::GateTicket> inbound_;
   std::unique_ptr<http_stream::Server> caller_server_;
   std::unique_ptr<http_stream::Server> readiness_server_;
