Directory: Use an upstream whose clock was set back between two starts

Callers saw 503 for a service of which each upstream had been started again after its clock was set back: the node acknowledged its heartbeats and dropped every one as late, because it began before the process heard last. Silence did not end this, only a restart of the node.

Cause: the order of starts was taken from clocks that may step, with no way out when it contradicts who is alive. Ruled out: ignoring the order, since heartbeats of an ended process arrive seconds late and would put it back into use.

A process with an earlier start now replaces the known one once that has been silent for the silence limit and its own heartbeats have kept arriving, with rising sequence, for as long. Late heartbeats of the process that it replaced are judged the same way, so they do not undo it at once.

--- a/libraries/directory/local_instance.cc
+++ b/libraries/directory/local_instance.cc
@@ -14,10 +14,21 @@
   }
   const bool is_same_process =
       heartbeat.born == newest_start_ && heartbeat.instance == heartbeat_.instance;
-  if (heartbeat.born < newest_start_ ||
-      (is_same_process && heartbeat.sequence <= heartbeat_.sequence)) {
+  if (is_same_process && heartbeat.sequence <= heartbeat_.sequence) {
     return HeartbeatOutcome::kLate;
   }
+  if (SeemsOlder(heartbeat)) {
+    if (!HasOutlivedCurrent(heartbeat, now)) {
+      return HeartbeatOutcome::kLate;
+    }
+    base::Log(base::LogLevel::kWarning, "instance_clock_set_back",
+              {{"instance", heartbeat.instance},
+               {"born", static_cast<Json::UInt64>(heartbeat.born)},
+               {"silent_instance", heartbeat_.instance},
+               {"silent_born", static_cast<Json::UInt64>(newest_start_)}});
+    outlived_ = Incarnation{heartbeat_.instance, heartbeat_.born};
+    challenger_.reset();
+  }
   // The heartbeats of an adopted instance tell its start for the first time.
   const bool is_adopted = heartbeat_.born == 0 && heartbeat.instance == heartbeat_.instance;
   const bool is_new = !is_same_process || is_silent_;
@@ -43,6 +54,28 @@
   return HeartbeatOutcome::kTaken;
 }
 
+bool LocalInstance::SeemsOlder(const Heartbeat& heartbeat) const {
+  return heartbeat.born < newest_start_ ||
+         outlived_ == Incarnation{heartbeat.instance, heartbeat.born};
+}
+
+bool LocalInstance::HasOutlivedCurrent(const Heartbeat& heartbeat, base::TimePoint now) {
+  const Incarnation incarnation{heartbeat.instance, heartbeat.born};
+  const bool is_continued = challenger_ && challenger_->incarnation == incarnation &&
+                            now - challenger_->heard_at <= silence_limit_;
+  if (!is_continued) {
+    challenger_ = Challenger{incarnation, heartbeat.sequence, now, now};
+    return false;
+  }
+  if (heartbeat.sequence <= challenger_->sequence) {
+    return false;
+  }
+  challenger_->sequence = heartbeat.sequence;
+  challenger_->heard_at = now;
+  // Delayed heartbeats arrive within a shorter time of each other than that of several intervals.
+  return is_silent_ && now - challenger_->first_heard_at >= silence_limit_;
+}
+
 bool LocalInstance::Adopt(const std::string& instance, std::uint32_t slots, base::TimePoint now) {
   if (has_been_heard() || instance.empty()) {
     return false;
--- a/libraries/directory/local_instance.h
+++ b/libraries/directory/local_instance.h
@@ -32,8 +32,10 @@
 /**
  * State of the instance on this host, as known from its heartbeats. Processes are ordered by their
  * start time, and the messages of a process by their sequence number, so that a delayed message of
- * an ended process has no effect. A process that has announced its leaving is remembered and never
- * serves again, however late a heartbeat of it arrives. Not thread-safe.
+ * an ended process has no effect. As clocks can be set back between two starts, a process with an
+ * earlier start replaces one that has fallen silent if its heartbeats keep arriving. A process that
+ * has announced its leaving is remembered and never serves again, however late a heartbeat of it
+ * arrives. Not thread-safe.
  */
 class LocalInstance {
  public:
@@ -98,6 +100,18 @@
     base::TimePoint since;
   };
 
+  // A process that seems to be older than the current one but whose heartbeats keep arriving.
+  struct Challenger {
+    Incarnation incarnation;
+    std::uint64_t sequence = 0;
+    base::TimePoint first_heard_at;
+    base::TimePoint heard_at;
+  };
+
+  bool SeemsOlder(const Heartbeat& heartbeat) const;
+  // Records a heartbeat of a process that seems older. Returns whether that process has outlived
+  // the current one.
+  bool HasOutlivedCurrent(const Heartbeat& heartbeat, base::TimePoint now);
   const Departed* FindDeparted(const Incarnation& incarnation) const;
   void RememberDeparted(const Incarnation& incarnation, base::TimePoint since);
 
@@ -109,6 +123,10 @@
   base::Duration silence_limit_;
   Heartbeat heartbeat_;
   std::uint64_t newest_start_ = 0;
+  std::optional<Challenger> challenger_;
+  // Process that was replaced by one with an earlier start. Its delayed heartbeats must not undo
+  // that, although its start is later.
+  std::optional<Incarnation> outlived_;
   base::TimePoint heard_at_{};
   bool is_suspect_ = false;
   // Set once the instance was silent for too long. `heartbeat_` is kept, so that delayed messages
--- a/tests/directory/directory_test.cc
+++ b/tests/directory/directory_test.cc
@@ -129,6 +129,39 @@
   EXPECT_TRUE(instance_.is_known());
 }
 
+// Guards against an upstream that stays unused after its clock was set back between two starts.
+TEST_F(LocalInstanceTest, AProcessStartedByAClockThatWasSetBackIsUsedOnceTheEarlierOneIsSilent) {
+  SendHeartbeat("i-1", 5000, 9);
+  for (std::uint64_t sequence = 1; sequence <= 5; ++sequence) {
+    now_ += milliseconds(1500);
+    instance_.ExpireIfSilent(now_);
+    SendHeartbeat("i-2", 2000, sequence);
+  }
+  EXPECT_TRUE(instance_.is_known());
+  EXPECT_EQ(instance_.instance(), "i-2");
+  EXPECT_EQ(SendHeartbeat("i-1", 5000, 10), HeartbeatOutcome::kLate);
+  EXPECT_EQ(SendHeartbeat("i-2", 2000, 6), HeartbeatOutcome::kTaken);
+  EXPECT_EQ(SendHeartbeat("i-3", 6000, 1), HeartbeatOutcome::kTaken);
+}
+
+// Guards against delayed heartbeats of an ended process that replace a silent or a live instance.
+TEST_F(LocalInstanceTest, DelayedHeartbeatsOfAnEndedProcessDoNotReplaceItsSuccessor) {
+  SendHeartbeat("i-2", 20, 1);
+  for (std::uint64_t sequence = 1; sequence <= 9; ++sequence) {
+    now_ += milliseconds(1500);
+    EXPECT_EQ(SendHeartbeat("i-1", 10, sequence), HeartbeatOutcome::kLate);
+    EXPECT_EQ(SendHeartbeat("i-2", 20, sequence + 1), HeartbeatOutcome::kTaken);
+  }
+  now_ += seconds(4);
+  ASSERT_TRUE(instance_.ExpireIfSilent(now_));
+  for (std::uint64_t sequence = 10; sequence <= 14; ++sequence) {
+    now_ += milliseconds(100);
+    EXPECT_EQ(SendHeartbeat("i-1", 10, sequence), HeartbeatOutcome::kLate);
+  }
+  now_ += seconds(10);
+  EXPECT_EQ(SendHeartbeat("i-1", 10, 15), HeartbeatOutcome::kLate);
+}
+
 // Guards against a late leave of an ended process that takes its successor under the same id out of
 // use.
 TEST_F(LocalInstanceTest, ALateLeaveOfAnEarlierProcessDoesNotAffectItsSuccessor) {
