ControlMember: Join through members that still send to a lost disk

Callers saw 503 from every node for good after a power loss with two lost disks: one seed had been replaced, the other two had lost their disks. Each of these asked only the seeds for admission, so neither joined, the group stayed at three voters, and nodes, which know the seeds too, found no host in contact with the leader and so no declaration.

Cause: a wait that only a fixed list of hosts can end, with nobody to end it when that list is gone. A host with an empty disk now also asks the hosts that send to the replica it had before: the leader contacts every member. Nodes need no change, as the seeds answer as current once they have joined. A replica without a leader asks the same hosts whether it was removed.

--- a/libraries/control_member/member.cc
+++ b/libraries/control_member/member.cc
@@ -193,8 +193,13 @@
   }
 }
 
+// The seeds may all be gone or have lost their disks too. The members of the group still send to
+// the replica that this host had on its lost disk.
 std::set<std::string> Member::HostsToContact() const {
   std::set<std::string> hosts(options_.seeds.begin(), options_.seeds.end());
+  for (const auto& [replica, address] : learned_addresses_) {
+    hosts.insert(address);
+  }
   hosts.erase(options_.address);
   return hosts;
 }
--- a/libraries/control_member/member.h
+++ b/libraries/control_member/member.h
@@ -93,7 +93,7 @@
 
   /**
    * Restarts from the stored state. Without one, forms the group on a first start as a seed, or
-   * asks the seeds to join.
+   * asks the seeds, and the hosts that send to its lost disk, to join.
    * @throws ControlMemberError if the stored state cannot be loaded.
    */
   void Start();
--- a/tests/control_member/member_test.cc
+++ b/tests/control_member/member_test.cc
@@ -157,6 +157,34 @@
   ReplaceUntilAcknowledged(world, seconds(5));
 }
 
+// Guards against a group that never grows again, and nodes that find no member of it, because of the
+// seeds one was replaced and the others lost their disks.
+TEST(MemberTest, HostsThatLostTheirDisksJoinWithoutAnySeedInTheGroup) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    SCOPED_TRACE(seed);
+    World world(seed);
+    FormGroup(world);
+    ReplaceUntilAcknowledged(world, seconds(3));
+    world.Kill("c1");
+    world.Start("c6", false);
+    ASSERT_TRUE(world.AdvanceUntil(seconds(8), [&] { return world.HasAllVoters(); }));
+    ReplaceUntilAcknowledged(world, seconds(3));
+    world.WipeDisk("c2");
+    world.WipeDisk("c3");
+    for (const char* host : {"c4", "c5", "c6"}) {
+      world.Kill(host, PowerLoss::kLoseUnsynced);
+    }
+    for (const char* host : {"c2", "c3", "c4", "c5", "c6"}) {
+      world.Start(host, false);
+    }
+    ASSERT_TRUE(world.AdvanceUntil(seconds(10), [&] { return world.HasAllVoters(); }));
+    for (const char* host : {"c2", "c3"}) {
+      EXPECT_TRUE(world.AdvanceUntil(seconds(1), [&] { return world.member(host).IsCurrent(); }));
+      EXPECT_EQ(world.member(host).applied().version(), world.acknowledged());
+    }
+  }
+}
+
 // Guards against a joiner that starts under a replica id whose membership change is never committed
 // and stays out of the group for good, so that two lost disks later no majority is left.
 TEST(MemberTest, JoinerWhoseAdditionIsNotCommittedStillJoins) {
