ControlMember: Replace a stopped voter by a spare at once

Callers saw 503 from every node for good: a control host was replaced in order, the new one first, and two other hosts lost their disks within two seconds of the old one's stop. The new host had caught up long before, but a silent voter is replaced only after two seconds, so two of five voters were left.

Cause: a stop in order looked like a silence that may pass. A stopping host now tells the other members, and the leader replaces it by a learner that has caught up, if there is one; without a spare nothing changes, so a restart keeps its place. Ruled out: a shorter wait for all silences, which would swap voters at each pause of a host and still leaves a gap.

--- a/libraries/control_member/formation_message.cc
+++ b/libraries/control_member/formation_message.cc
@@ -45,6 +45,11 @@
   packer.pack(message.is_forwarded);
 }
 
+void PackBody(Packer& packer, const StopNotice& message) {
+  packer.pack(message.replica);
+  packer.pack(message.address);
+}
+
 FormationMessage Unpack(std::uint64_t type, const msgpack::object& first,
                         const msgpack::object& second) {
   switch (type) {
@@ -64,6 +69,8 @@
       const auto [replica, is_forwarded] = second.as<std::tuple<consensus::ReplicaId, bool>>();
       return MembershipInquiry{first.as<std::string>(), replica, is_forwarded};
     }
+    case 5:
+      return StopNotice{first.as<consensus::ReplicaId>(), second.as<std::string>()};
     default:
       throw ControlMemberError(fmt::format("unknown control group message type {}", type));
   }
--- a/libraries/control_member/formation_message.h
+++ b/libraries/control_member/formation_message.h
@@ -47,9 +47,15 @@
   bool is_forwarded = false;
 };
 
+/** A replica that stops tells the other members, so that a spare can take its place at once. */
+struct StopNotice {
+  consensus::ReplicaId replica = consensus::kNoReplica;
+  std::string address;  ///< Of the host that stops.
+};
+
 /** Any message between control hosts. */
-using FormationMessage =
-    std::variant<ReplicationMessage, JoinRequest, JoinAnswer, RemovalNotice, MembershipInquiry>;
+using FormationMessage = std::variant<ReplicationMessage, JoinRequest, JoinAnswer, RemovalNotice,
+                                      MembershipInquiry, StopNotice>;
 
 /** @return @p message in its wire format. */
 std::string EncodeFormationMessage(const FormationMessage& message);
--- a/libraries/control_member/member.cc
+++ b/libraries/control_member/member.cc
@@ -133,11 +133,10 @@
 std::size_t Member::RequiredVoters() const { return 2 * options_.tolerated_losses + 1; }
 
 void Member::Start() {
-  inquiry_timer_ =
-      timers_.SubscribeEvery(kInquiryInterval, [this](base::TimePoint) {
-        LogWait();
-        SendInquiries();
-      });
+  inquiry_timer_ = timers_.SubscribeEvery(kInquiryInterval, [this](base::TimePoint) {
+    LogWait();
+    SendInquiries();
+  });
   try {
     if (replication::LoadConsistent(storage_->Hooks())) {
       StartReplica({replication::StartMode::kRestart, consensus::kNoReplica, {}}, "restart");
@@ -219,6 +218,8 @@
       HandleRemovalNotice(*removal);
     } else if (const auto* inquiry = std::get_if<MembershipInquiry>(&message)) {
       HandleInquiry(from, *inquiry);
+    } else if (const auto* notice = std::get_if<StopNotice>(&message)) {
+      HandleStopNotice(*notice);
     }
   } catch (const base::Error& error) {
     base::Log(base::LogLevel::kWarning, "control_message_refused",
@@ -268,7 +269,9 @@
     contacted.append(host);
   }
   base::Log(base::LogLevel::kInfo, "control_waiting",
-            {{"for", !is_replica_started_ ? "admission" : has_leader ? "entries" : "leader"},
+            {{"for", !is_replica_started_ ? "admission"
+                     : has_leader         ? "entries"
+                                          : "leader"},
              {"voters", static_cast<Json::UInt64>(status.membership.voter_count())},
              {"silent_voters", silent},
              {"contacted", contacted}});
@@ -289,6 +292,15 @@
   }
 }
 
+void Member::HandleStopNotice(const StopNotice& notice) {
+  if (!is_replica_started_) {
+    return;
+  }
+  base::Log(base::LogLevel::kInfo, "control_member_stopping",
+            {{"host", notice.address}, {"replica", static_cast<Json::UInt64>(notice.replica)}});
+  replica_host_->NoteStopping(notice.replica);
+}
+
 void Member::HandleInquiry(const std::string& from, const MembershipInquiry& inquiry) {
   if (!is_replica_started_) {
     return;
@@ -500,6 +512,12 @@
     done();
     return;
   }
+  const replication::HostStatus status = replica_host_->status();
+  for (const std::string& host : ControlHosts()) {
+    if (host != options_.address) {
+      Send(host, StopNotice{status.replica, options_.address});
+    }
+  }
   replica_host_->Shutdown(std::move(done));
 }
 
--- a/libraries/control_member/member.h
+++ b/libraries/control_member/member.h
@@ -116,7 +116,7 @@
   /** Replaces the control hosts to contact first; the new list may name different hosts. */
   void set_seeds(std::vector<std::string> seeds) { options_.seeds = std::move(seeds); }
 
-  /** Transfers leadership and stops; @p done is called once stopped. */
+  /** Tells the other members, transfers leadership and stops; @p done is called once stopped. */
   void Shutdown(std::function<void()> done);
 
   /**
@@ -142,6 +142,7 @@
   void BeginJoin();
   void HandleReplicationMessage(const std::string& from, const ReplicationMessage& message);
   void HandleRemovalNotice(const RemovalNotice& removal);
+  void HandleStopNotice(const StopNotice& notice);
   void HandleInquiry(const std::string& from, const MembershipInquiry& inquiry);
   void SendInquiries();
   // Logs what keeps this host from being current.
--- a/libraries/replication/membership_repair.cc
+++ b/libraries/replication/membership_repair.cc
@@ -35,10 +35,14 @@
   return std::nullopt;
 }
 
-std::optional<ReplicaId> FindUnreachableVoter(const RepairView& view) {
+bool IsLost(const RepairView& view, ReplicaId replica) {
+  return view.is_stopping(replica) ||
+         (!view.is_reachable(replica) && view.time_since_contact(replica) >= view.replace_after);
+}
+
+std::optional<ReplicaId> FindLostVoter(const RepairView& view) {
   for (const auto& [replica, member] : view.membership.members()) {
-    if (member.is_voter && replica != view.leader && !view.is_reachable(replica) &&
-        view.time_since_contact(replica) >= view.replace_after) {
+    if (member.is_voter && replica != view.leader && IsLost(view, replica)) {
       return replica;
     }
   }
@@ -69,9 +73,9 @@
     if (!IsFull(view)) {
       return MembershipChange{MembershipChangeKind::kPromoteLearner, learner, ""};
     }
-    if (view.is_reachable(learner)) {
-      if (const auto unreachable = FindUnreachableVoter(view)) {
-        return MembershipChange{MembershipChangeKind::kRemove, *unreachable, ""};
+    if (view.is_reachable(learner) && !view.is_stopping(learner)) {
+      if (const auto lost = FindLostVoter(view)) {
+        return MembershipChange{MembershipChangeKind::kRemove, *lost, ""};
       }
     }
   }
--- a/libraries/replication/membership_repair.h
+++ b/libraries/replication/membership_repair.h
@@ -20,6 +20,8 @@
   /** Address of a member's host; a replica replaces earlier ones at the same address. */
   std::function<std::string(const std::string& host)> address_of;
   std::function<bool(consensus::ReplicaId)> is_reachable;
+  /** Whether a member has announced that it stops. */
+  std::function<bool(consensus::ReplicaId)> is_stopping;
   std::function<bool(consensus::ReplicaId)> has_caught_up;
   /** Time since the leader last had contact to a member. */
   std::function<base::Duration(consensus::ReplicaId)> time_since_contact;
--- a/libraries/replication/replica_host.cc
+++ b/libraries/replication/replica_host.cc
@@ -146,6 +146,11 @@
   RunPersistLoop();
 }
 
+void ReplicaHost::NoteStopping(consensus::ReplicaId replica) {
+  const std::scoped_lock lock(mutex_);
+  stopping_since_[replica] = dependencies_.clock();
+}
+
 void ReplicaHost::Shutdown(std::function<void()> done) {
   {
     const std::scoped_lock lock(mutex_);
@@ -199,6 +204,8 @@
 }
 
 void ReplicaHost::RepairMembership(base::TimePoint now) {
+  std::erase_if(stopping_since_,
+                [&](const auto& entry) { return now - entry.second >= options_.replace_after; });
   if (!replica_->is_leader()) {
     last_contact_.clear();
     return;
@@ -221,6 +228,9 @@
   view.is_reachable = [this](consensus::ReplicaId replica) {
     return replica_->IsReachable(replica);
   };
+  view.is_stopping = [this](consensus::ReplicaId replica) {
+    return stopping_since_.contains(replica);
+  };
   view.has_caught_up = [this](consensus::ReplicaId replica) {
     return replica_->HasCaughtUp(replica);
   };
--- a/libraries/replication/replica_host.h
+++ b/libraries/replication/replica_host.h
@@ -77,6 +77,12 @@
    */
   void Receive(std::string_view bytes);
 
+  /**
+   * Notes that another member stops. A learner that has caught up replaces it without the usual
+   * wait for its return.
+   */
+  void NoteStopping(consensus::ReplicaId replica);
+
   /**
    * Transfers leadership and stops; new proposals are dropped immediately.
    * @param done Called once the host has stopped, at the latest after one election timeout.
@@ -138,6 +144,9 @@
   consensus::Index applied_ = 0;
   // Time of the last contact by member, while this replica is leader.
   std::map<consensus::ReplicaId, base::TimePoint> last_contact_;
+  // Time at which members announced that they stop. A member that is still in the group after
+  // `replace_after` is then judged by its contact again.
+  std::map<consensus::ReplicaId, base::TimePoint> stopping_since_;
   HostStatus counters_;
   std::optional<timer::SubscriptionId> subscription_;
 
--- a/tests/control_member/member_test.cc
+++ b/tests/control_member/member_test.cc
@@ -13,6 +13,11 @@
 using std::chrono::seconds;
 using storage::PowerLoss;
 
+// Time after a start, or a return, at which a host no longer counts as lost.
+constexpr seconds kCatchUpTime{4};
+// Time between two checks of a process whether it has stopped.
+constexpr milliseconds kStopCheckInterval{100};
+
 const std::vector<std::string> kHosts = {"c1", "c2", "c3", "c4", "c5"};
 
 void FormGroup(World& world) {
@@ -157,8 +162,8 @@
   ReplaceUntilAcknowledged(world, seconds(5));
 }
 
-// Guards against a group that never grows again, and nodes that find no member of it, because of the
-// seeds one was replaced and the others lost their disks.
+// Guards against a group that never grows again, and nodes that find no member of it, because of
+// the seeds one was replaced and the others lost their disks.
 TEST(MemberTest, HostsThatLostTheirDisksJoinWithoutAnySeedInTheGroup) {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
     SCOPED_TRACE(seed);
@@ -185,6 +190,64 @@
   }
 }
 
+// Guards against a group that keeps a voter which has stopped, although a spare has caught up, and
+// so loses its majority with two disks that are lost soon after.
+TEST(MemberTest, ASpareReplacesAStoppedHostBeforeTwoDisksAreLost) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    SCOPED_TRACE(seed);
+    World world(seed);
+    FormGroup(world);
+    ReplaceUntilAcknowledged(world, seconds(3));
+    world.Start("c6", false);
+    world.Advance(kCatchUpTime);
+    ASSERT_TRUE(world.member("c6").IsCurrent());
+    std::vector<std::string> others = kHosts;
+    const auto stopped = seed % 2 == 0
+                             ? std::find(others.begin(), others.end(), world.Leader())
+                             : others.begin() + static_cast<std::ptrdiff_t>(
+                                                    base::DrawBelow(world.random, others.size()));
+    const std::string stopped_host = *stopped;
+    others.erase(stopped);
+    world.Stop(stopped_host);
+    world.Advance(kStopCheckInterval);
+    ReplaceUntilAcknowledged(world, seconds(3));
+    world.WipeDisk(others[0]);
+    world.WipeDisk(others[1]);
+    world.Start(others[0], false);
+    world.Start(others[1], false);
+    ASSERT_TRUE(world.AdvanceUntil(seconds(10), [&] { return world.HasAllVoters(); }));
+    world.CheckReads();
+    world.Advance(seconds(1));
+    ReplaceUntilAcknowledged(world, seconds(5));
+  }
+}
+
+// Guards against a host that is still not a voter when the time in which a returned or replaced one
+// must catch up is over, after which two more disks may be lost.
+TEST(MemberTest, AReturnedHostVotesWithinTheCatchUpTime) {
+  for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+    SCOPED_TRACE(seed);
+    World world(seed);
+    FormGroup(world);
+    ReplaceUntilAcknowledged(world, seconds(3));
+    world.Advance(milliseconds(base::DrawBelow(world.random, 1000)));
+    std::string lost = kHosts[base::DrawBelow(world.random, kHosts.size())];
+    if (seed % 4 == 0) {
+      lost = world.Leader();
+    }
+    std::string returned = lost;
+    if (seed % 2 == 0) {
+      world.Kill(lost);
+      returned = "c6";
+    } else {
+      world.WipeDisk(lost);
+    }
+    world.Advance(milliseconds(base::DrawBelow(world.random, 2000)));
+    world.Start(returned, false);
+    EXPECT_TRUE(world.AdvanceUntil(kCatchUpTime, [&] { return world.HasAllVoters(); }));
+  }
+}
+
 // Guards against a joiner that starts under a replica id whose membership change is never committed
 // and stays out of the group for good, so that two lost disks later no majority is left.
 TEST(MemberTest, JoinerWhoseAdditionIsNotCommittedStillJoins) {
--- a/tests/control_member/world.cc
+++ b/tests/control_member/world.cc
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds kStep{10};
+constexpr std::chrono::milliseconds kMaximumStopTime{1500};
 const std::vector<std::string> kSeeds = {"c1", "c2", "c3"};
 
 }  // namespace
@@ -54,6 +55,13 @@
   host.member->Start();
 }
 
+void World::Stop(const std::string& address) {
+  bool is_stopped = false;
+  hosts_.at(address).member->Shutdown([&is_stopped] { is_stopped = true; });
+  AdvanceUntil(kMaximumStopTime, [&is_stopped] { return is_stopped; });
+  Kill(address);
+}
+
 void World::Kill(const std::string& address, std::optional<storage::PowerLoss> loss) {
   Host& host = hosts_.at(address);
   host.member.reset();
--- a/tests/control_member/world.h
+++ b/tests/control_member/world.h
@@ -25,6 +25,8 @@
 
   /** Starts a host at @p address, with the disk of its previous process if there is one. */
   void Start(const std::string& address, bool is_first_start);
+  /** Stops a host's process in order, and kills it once it has stopped or after 1.5 s. */
+  void Stop(const std::string& address);
   /** Kills a host's process; if @p loss is given, the machine also loses power. */
   void Kill(const std::string& address, std::optional<storage::PowerLoss> loss = {});
   /** Kills a host's process and replaces its disk by an empty one. */
