LocalGate: Bound the bodies that other nodes send

The gate held the bodies of all requests that other nodes sent it, each of them within its own limit, so a few nodes with long bodies for one upstream could exceed the memory of the node beside it. Requests beyond the limit are refused as not run, like those that find a full queue.

--- a/libraries/request_path/local_gate.cc
+++ b/libraries/request_path/local_gate.cc
@@ -50,6 +50,9 @@
   const std::uint64_t id = next_id_++;
   Refusal refusal = FindRefusal(request, now);
   CheckIncarnation();
+  if (refusal == Refusal::kNone && held_bytes_ + request.body.size() > options_.held_bytes) {
+    refusal = Refusal::kTooManyBytes;
+  }
   if (refusal == Refusal::kNone) {
     rate_limit_.Suggest(request.placement.rate_limit_milli, now);
   }
@@ -78,6 +81,8 @@
   tracked.request = std::move(request);
   tracked.handler = std::move(handler);
   const QueueKey queue_key = tracked.queue_key;
+  tracked.body_bytes = tracked.request.body.size();
+  held_bytes_ += tracked.body_bytes;
   requests_.emplace(id, std::move(tracked));
   if (has_room) {
     Start(id);
@@ -114,6 +119,14 @@
   return request.remaining <= base::Duration::zero() ? Refusal::kDeadlinePassed : Refusal::kNone;
 }
 
+LocalGate::TrackedRequest LocalGate::Take(
+    std::unordered_map<std::uint64_t, TrackedRequest>::iterator found) {
+  TrackedRequest tracked = std::move(found->second);
+  requests_.erase(found);
+  held_bytes_ -= tracked.body_bytes;
+  return tracked;
+}
+
 Refusal LocalGate::FindOverload(const QueueKey& key, base::TimePoint now,
                                 base::TimePoint wait_until) {
   const auto ahead =
@@ -229,8 +242,7 @@
   if (found == requests_.end()) {
     return;
   }
-  TrackedRequest tracked = std::move(found->second);
-  requests_.erase(found);
+  TrackedRequest tracked = Take(found);
   VERIFY(tracked.is_running && running_ > 0);
   level_.RecordFinish(static_cast<double>(running_) / static_cast<double>(ExpectedConcurrency()));
   ReleaseSlot(tracked, id);
@@ -257,8 +269,7 @@
 void LocalGate::Refuse(std::uint64_t id, Refusal refusal) {
   const auto found = requests_.find(id);
   VERIFY(found != requests_.end() && !found->second.is_running);
-  TrackedRequest tracked = std::move(found->second);
-  requests_.erase(found);
+  TrackedRequest tracked = Take(found);
   ++counters_.refused;
   LogRefusal(tracked.request, refusal, clock_() - tracked.arrived);
   tracked.handler(MakeRefusal(refusal, Load()));
@@ -270,8 +281,7 @@
   if (found == requests_.end()) {
     return;
   }
-  TrackedRequest tracked = std::move(found->second);
-  requests_.erase(found);
+  TrackedRequest tracked = Take(found);
   ++counters_.cancelled;
   wire::Response response = MakeRefusal(Refusal::kDeadlinePassed, {});
   if (tracked.is_running) {
--- a/libraries/request_path/local_gate.h
+++ b/libraries/request_path/local_gate.h
@@ -51,6 +51,8 @@
   base::Duration target_delay = std::chrono::milliseconds(4);
   /** Time between updates of the admission level. */
   base::Duration control_interval = std::chrono::milliseconds(50);
+  /** Maximum size of the bodies of all waiting and running requests. */
+  std::size_t held_bytes = std::size_t{48} << 20U;
 };
 
 /** Counters of a gate, for metrics. */
@@ -135,6 +137,7 @@
     directory::Incarnation incarnation;
     std::string request_id;
     wire::Placement placement;
+    std::size_t body_bytes = 0;
   };
 
   base::Duration WaitLimit(const wire::Request& request) const;
@@ -149,6 +152,8 @@
   base::Duration OldestWait(base::TimePoint now) const;
   void ReleaseSlot(const TrackedRequest& tracked, std::uint64_t id);
   base::Duration ExpectedWait(std::size_t ahead) const;
+  // Removes a request that has ended.
+  TrackedRequest Take(std::unordered_map<std::uint64_t, TrackedRequest>::iterator found);
   void Start(std::uint64_t id);
   void StartNext();
   void Finish(std::uint64_t id, wire::Response response);
@@ -172,6 +177,7 @@
   directory::Incarnation incarnation_;  // Whose rate limit is known.
   bool is_taking_ = true;
   std::size_t running_ = 0;
+  std::size_t held_bytes_ = 0;
   std::uint64_t next_id_ = 1;
   double service_time_ms_ = 0;
   SlownessTracker slowness_;
--- a/tests/request_path/local_gate_test.cc
+++ b/tests/request_path/local_gate_test.cc
@@ -88,6 +88,41 @@
   std::unique_ptr<LocalGate> gate_;
 };
 
+// Guards against a node that runs out of memory because many other nodes send it long bodies.
+TEST_F(LocalGateTest, RefusesBodiesBeyondItsLimitAsNotRun) {
+  gate_.reset();
+  LocalGateOptions options;
+  options.slot_share = 1;
+  options.held_bytes = 1000;
+  gate_ = std::make_unique<LocalGate>(
+      options, instance_, [this] { return now_; }, timers_,
+      [this](wire::Request request, base::TimePoint, ResponseHandler handler) -> CancelHook {
+        running_.push_back({std::move(request), std::move(handler)});
+        return [] {};
+      },
+      log_);
+  std::vector<wire::Response> ends;
+  const auto submit = [&](const std::string& id, std::size_t bytes) {
+    wire::Request request;
+    request.context.root = id;
+    request.remaining = seconds(1);
+    request.placement.instance = "i-1";
+    request.body = std::string(bytes, 'x');
+    return gate_->Submit(std::move(request),
+                         [&ends](wire::Response response) { ends.push_back(std::move(response)); });
+  };
+  const GateTicket first = submit("a", 600);
+  submit("b", 401);
+  ASSERT_EQ(ends.size(), 1U);
+  EXPECT_EQ(ends[0].outcome, wire::Outcome::kNotRun);
+  EXPECT_EQ(ends[0].reason, TextOf(Refusal::kTooManyBytes));
+  submit("c", 400);
+  EXPECT_EQ(running_.size(), 2U);
+  gate_->Cancel(first);
+  submit("d", 600);
+  EXPECT_EQ(running_.size(), 3U);
+}
+
 // Guards against many roots that each lose some of their calls: this happens when the gates serve
 // the longest waiting call first while the entries still admit more roots than there is capacity.
 TEST_F(LocalGateTest, RootsWithinTheLevelGoFirst) {
