HttpStream: Bound the request bodies of all callers in sum

The bound on bodies was checked by Entry, after a body had been read; what was still being read was bounded for each connection only, and a growing body held up to three times its size.

The server now counts each body from its header, by its stated length, until its request is answered, and refuses with 503 and Retry-After what would exceed the limit; an eighth is kept for short bodies. Such a request has not run. The limit follows the memory of the machine (an eighth), since a body is held about twice by the entry, and again by the gate. Ruled out: letting callers wait for room, which holds requests that would be refused anyway, and needs bodies that are half read to give way to each other.

--- a/libraries/http_stream/message_parser.cc
+++ b/libraries/http_stream/message_parser.cc
@@ -1,5 +1,6 @@
 #include "libraries/http_stream/message_parser.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace borageloft::http_stream {
@@ -102,6 +103,10 @@
          state_ == ParseState::kMalformed;
 }
 
+std::size_t MessageParser::body_bytes() const {
+  return state_ == ParseState::kBody ? std::max(stated_body_bytes_, body_.size()) : body_.size();
+}
+
 int MessageParser::HandleHeadersComplete() {
   std::size_t bytes = target_.size();
   for (const wire::Header& field : fields_) {
@@ -128,6 +133,10 @@
     return kAbort;
   }
   state_ = ParseState::kBody;
+  if (kind_ == MessageKind::kRequest && has_length) {
+    stated_body_bytes_ = static_cast<std::size_t>(parser_.content_length);
+    body_.reserve(stated_body_bytes_);  // Growing would hold up to three times the size.
+  }
   status_ = parser_.status_code;
   const std::string* expect = FindField(fields_, "expect");
   expects_continue_ = expect != nullptr && EqualsIgnoreCase(*expect, "100-continue");
@@ -181,6 +190,7 @@
   is_in_value_ = false;
   body_.clear();
   header_bytes_ = 0;
+  stated_body_bytes_ = 0;
   interim_responses_ = 0;
   expects_no_body_ = false;
   expects_continue_ = false;
@@ -188,6 +198,11 @@
   status_ = 0;
 }
 
+void MessageParser::Discard() {
+  Reset();
+  body_ = std::string();
+}
+
 RequestMessage MessageParser::TakeRequest() {
   VERIFY(kind_ == MessageKind::kRequest && state_ == ParseState::kComplete);
   RequestMessage message;
--- a/libraries/http_stream/message_parser.h
+++ b/libraries/http_stream/message_parser.h
@@ -62,6 +62,9 @@
   bool has_failed() const;
   /** @return Bytes of the current message that are in memory. */
   std::size_t held_bytes() const { return header_bytes_ + body_.size(); }
+  /** @return Size that the body of the current message is known to reach: its stated length once
+   * the header is complete, or what has arrived of a body without one. */
+  std::size_t body_bytes() const;
   /** @return Whether the current request has the field `Expect: 100-continue`. */
   bool expects_continue() const { return expects_continue_; }
 
@@ -70,6 +73,9 @@
   /** @return The complete response; resets the parser for the next one. */
   ResponseMessage TakeResponse();
 
+  /** Drops the current message and its memory. */
+  void Discard();
+
   /** Replaces the limits. Call between messages: a message in progress is checked against them. */
   void set_limits(MessageLimits limits) { limits_ = limits; }
 
@@ -91,6 +97,7 @@
   bool is_in_value_ = false;
   std::string body_;
   std::size_t header_bytes_ = 0;
+  std::size_t stated_body_bytes_ = 0;
   unsigned interim_responses_ = 0;
   bool expects_no_body_ = false;
   bool expects_continue_ = false;
--- a/libraries/http_stream/server.cc
+++ b/libraries/http_stream/server.cc
@@ -19,6 +19,8 @@
 constexpr std::chrono::milliseconds kAcceptRetryDelay{100};
 // Connections that the kernel queues while the process is too busy to accept them.
 constexpr int kAcceptBacklog = 1024;
+// Divisor for the part of the held bytes that is kept for short bodies.
+constexpr std::size_t kReservedShare = 8;
 
 }  // namespace
 
@@ -86,6 +88,13 @@
   });
 }
 
+bool Server::HasRoom(std::size_t body_bytes, std::size_t held_before) const {
+  // Otherwise a few long bodies would keep out the short requests of all other callers.
+  const std::size_t reserve =
+      body_bytes > ServerLimits::kSmallBodyBytes ? limits_.held_bytes / kReservedShare : 0;
+  return held_bytes_ - held_before + body_bytes <= limits_.held_bytes - reserve;
+}
+
 std::size_t Server::unfinished_responses() const {
   return static_cast<std::size_t>(
       std::count_if(sessions_.begin(), sessions_.end(),
--- a/libraries/http_stream/server.h
+++ b/libraries/http_stream/server.h
@@ -56,6 +56,13 @@
   base::Duration idle_timeout = std::chrono::seconds(15);
   /** Maximum requests of one connection in progress; further ones stay unparsed meanwhile. */
   std::size_t pipeline_depth = 32;
+  /**
+   * Maximum size of the request bodies held on all connections together, from their header until
+   * their response; a request beyond it is answered with 503. An eighth is kept for bodies of at
+   * most kSmallBodyBytes.
+   */
+  std::size_t held_bytes = std::size_t{48} << 20U;
+  static constexpr std::size_t kSmallBodyBytes = std::size_t{64} << 10U;
   /** Maximum open connections; further ones are closed as soon as they are accepted. */
   std::size_t connections = 3000;
 };
@@ -66,6 +73,7 @@
   std::uint64_t connections_refused = 0;
   std::uint64_t requests = 0;
   std::uint64_t malformed = 0;
+  std::uint64_t refused_for_bytes = 0;
   std::uint64_t abandoned = 0;
 };
 
@@ -106,6 +114,8 @@
   /** @return Number of connections on which a response is not yet written in full, or whose closing
    * the caller has not completed. */
   std::size_t unfinished_responses() const;
+  /** @return Size of the request bodies that count against the limit. */
+  std::size_t held_bytes() const { return held_bytes_; }
   std::size_t connection_count() const { return sessions_.size(); }
   const ServerCounters& counters() const { return counters_; }
 
@@ -113,6 +123,8 @@
   friend class Session;
 
   void Accept();
+  // Whether a body may grow from one size to another.
+  bool HasRoom(std::size_t body_bytes, std::size_t held_before) const;
 
   asio::io_context& context_;
   ServerLimits limits_;
@@ -122,6 +134,7 @@
   std::unordered_map<std::uint64_t, std::shared_ptr<Session>> sessions_;
   std::uint64_t next_session_id_ = 1;
   std::size_t exchanges_in_progress_ = 0;
+  std::size_t held_bytes_ = 0;
   bool is_draining_ = false;
   ServerCounters counters_;
 };
--- a/libraries/http_stream/session.cc
+++ b/libraries/http_stream/session.cc
@@ -10,6 +10,9 @@
 constexpr unsigned kRequestTimeout = 408;
 constexpr unsigned kContentTooLarge = 413;
 constexpr unsigned kHeaderTooLarge = 431;
+constexpr unsigned kServiceUnavailable = 503;
+// The bodies held now are about to be passed on.
+constexpr const char* kRetryAfterSeconds = "0.5";
 
 base::TimePoint Now() { return base::SystemClock()(); }
 
@@ -78,6 +81,10 @@
       RejectRequest();
       return;
     }
+    if (!ReserveBody()) {
+      RefuseForBytes();
+      return;
+    }
     if (parser_.state() == ParseState::kComplete) {
       HandleRequest();
       continue;
@@ -92,6 +99,27 @@
   }
 }
 
+bool Session::ReserveBody() {
+  const std::size_t body_bytes = parser_.body_bytes();
+  if (body_bytes <= body_bytes_) {
+    return true;
+  }
+  if (!server_->HasRoom(body_bytes, body_bytes_)) {
+    return false;
+  }
+  server_->held_bytes_ += body_bytes - body_bytes_;
+  body_bytes_ = body_bytes;
+  return true;
+}
+
+void Session::ReleaseBody(std::size_t& body_bytes) {
+  if (server_ != nullptr) {
+    VERIFY(server_->held_bytes_ >= body_bytes);
+    server_->held_bytes_ -= body_bytes;
+  }
+  body_bytes = 0;
+}
+
 void Session::ContinueIfExpected() {
   if (has_continued_ || !parser_.expects_continue() || parser_.state() != ParseState::kBody ||
       !pipeline_.empty()) {
@@ -111,6 +139,7 @@
   PendingRequest pending;
   pending.number = next_number_++;
   pending.body_use = request.method == "HEAD" ? BodyUse::kOmit : BodyUse::kWrite;
+  pending.body_bytes = std::exchange(body_bytes_, 0);
   pending.closes_connection = !request.keeps_alive;
   is_discarding_input_ = !request.keeps_alive;
   const std::uint64_t number = pending.number;
@@ -132,6 +161,24 @@
                     : parser_.state() == ParseState::kBodyTooLarge ? kContentTooLarge
                                                                    : kBadRequest;
   base::Log(base::LogLevel::kInfo, "request_malformed", {{"status", response.status}});
+  RefuseInput(std::move(response));
+}
+
+void Session::RefuseForBytes() {
+  ++server_->counters_.refused_for_bytes;
+  base::Log(base::LogLevel::kWarning, "request_refused_for_bytes",
+            {{"body_bytes", static_cast<Json::UInt64>(parser_.body_bytes())},
+             {"held_bytes", static_cast<Json::UInt64>(server_->held_bytes_)}});
+  ResponseMessage response;
+  response.status = kServiceUnavailable;
+  response.fields.push_back({"Retry-After", kRetryAfterSeconds});
+  RefuseInput(std::move(response));
+}
+
+// Answers the request that is being read and closes the connection after the answer.
+void Session::RefuseInput(ResponseMessage response) {
+  ReleaseBody(body_bytes_);
+  parser_.Discard();
   is_discarding_input_ = true;
   input_.clear();
   PendingRequest pending;
@@ -150,6 +197,7 @@
   }
   pending->response = std::move(response);
   pending->on_abandoned = nullptr;
+  ReleaseBody(pending->body_bytes);
   FlushResponses();
 }
 
@@ -272,7 +320,9 @@
 
 void Session::AbandonAll() {
   std::deque<PendingRequest> pipeline = std::exchange(pipeline_, {});
+  ReleaseBody(body_bytes_);
   for (PendingRequest& pending : pipeline) {
+    ReleaseBody(pending.body_bytes);
     if (server_ != nullptr) {
       --server_->exchanges_in_progress_;
       server_->counters_.abandoned += pending.response ? 0 : 1;
--- a/libraries/http_stream/session.h
+++ b/libraries/http_stream/session.h
@@ -31,6 +31,7 @@
   struct PendingRequest {
     std::uint64_t number = 0;
     BodyUse body_use = BodyUse::kWrite;
+    std::size_t body_bytes = 0;  // Counted at the server until there is a response.
     bool closes_connection = false;
     std::optional<ResponseMessage> response;
     std::function<void()> on_abandoned;
@@ -41,7 +42,12 @@
   void ParseInput();
   void HandleRequest();
   void ContinueIfExpected();
+  // Counts the body that is being read. Returns false if the server has no room for it.
+  bool ReserveBody();
+  void ReleaseBody(std::size_t& body_bytes);
   void RejectRequest();
+  void RefuseForBytes();
+  void RefuseInput(ResponseMessage response);
   void FlushResponses();
   void Write();
   void FinishWriting();
@@ -67,6 +73,7 @@
   std::uint64_t next_number_ = 1;
   std::string output_;
   std::string write_buffer_;
+  std::size_t body_bytes_ = 0;  // Of the request being read, as counted at the server.
   bool has_continued_ = false;  // The caller of the request being read was told to send its body.
   bool is_reading_ = false;
   bool is_writing_ = false;
--- a/libraries/mesh/mesh_node.cc
+++ b/libraries/mesh/mesh_node.cc
@@ -84,8 +84,10 @@
   pool_ = std::make_unique<request_path::UpstreamPool>(
       loop_.context(), pool_options, dialect_.headers, [this] { instance_.Suspect(); },
       [this] { instance_.Suspect(); });
+  request_path::LocalGateOptions gate_options;
+  gate_options.held_bytes = settings.held_megabytes << 20U;
   gate_ = std::make_unique<request_path::LocalGate>(
-      request_path::LocalGateOptions{}, instance_, clock_, loop_.timers(),
+      gate_options, instance_, clock_, loop_.timers(),
       [this](wire::Request request, base::TimePoint deadline,
              request_path::ResponseHandler handler) {
         return pool_->Run(std::move(request), deadline, std::move(handler));
@@ -187,6 +189,7 @@
 
   http_stream::ServerLimits limits;
   limits.connections = settings.connections;
+  limits.held_bytes = settings.held_megabytes << 20U;
   caller_server_ = std::make_unique<http_stream::Server>(
       loop_.context(), limits,
       [this](http_stream::RequestMessage message, base::TimePoint received,
@@ -383,6 +386,7 @@
     entry_->SetDeclaration(declaration);
     http_stream::ServerLimits limits;
     limits.connections = loop_.settings().connections;
+    limits.held_bytes = loop_.settings().held_megabytes << 20U;
     const declaration::CallerLimits& declared = declaration.limits;
     limits.message.header_bytes = declared.header_bytes.value_or(limits.message.header_bytes);
     limits.message.body_bytes = std::min(limits.message.body_bytes,
@@ -549,6 +553,10 @@
   text.Add("borageloft_upstream_rate_limit",
            "Requests per second that the upstream names, in 1/1000",
            gate_->Load().rate_limit_milli);
+  text.Add("borageloft_request_bytes_held", "Size of the callers' request bodies held",
+           caller_server_->held_bytes());
+  text.Add("borageloft_refused_for_bytes_total", "Requests refused because of the bytes held",
+           caller_server_->counters().refused_for_bytes);
   text.Add("borageloft_caller_connections", "Open connections of callers",
            caller_server_->connection_count());
   text.Add("borageloft_declaration_version", "Declaration in force", entry_->version());
--- a/libraries/mesh/mesh_settings.cc
+++ b/libraries/mesh/mesh_settings.cc
@@ -17,6 +17,10 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+// A body is held several times while it is passed on, and by the gate as well as by the entry.
+constexpr std::int64_t kMemoryPerHeldByte = 8;
+constexpr std::int64_t kMaximumHeld = 4096;
+
 constexpr std::array<std::string_view, 7> kSections = {"mesh",    "listen", "upstream", "control",
                                                        "retries", "limits", "log"};
 
@@ -136,8 +140,12 @@
         parser.Time("drain_time", settings_.drain_time, seconds(1), seconds(600));
     settings_.connections = static_cast<std::size_t>(parser.Integer(
         "connections", static_cast<std::int64_t>(settings_.connections), 16, 60'000));
-    settings_.held_megabytes = static_cast<std::size_t>(parser.Integer(
-        "held_megabytes", static_cast<std::int64_t>(settings_.held_megabytes), 1, 4096));
+    const std::int64_t memory = parser.Integer("memory_megabytes", 0, 0, 1'048'576);
+    const auto held = memory == 0
+                          ? static_cast<std::int64_t>(settings_.held_megabytes)
+                          : std::clamp<std::int64_t>(memory / kMemoryPerHeldByte, 1, kMaximumHeld);
+    settings_.held_megabytes =
+        static_cast<std::size_t>(parser.Integer("held_megabytes", held, 1, kMaximumHeld));
     parser.RefuseUnknownKeys();
   }
 
--- a/tests/http_stream/server_test.cc
+++ b/tests/http_stream/server_test.cc
@@ -108,6 +108,63 @@
   EXPECT_EQ(received_[2].message.target, "/3");
 }
 
+// Guards against a process that runs out of memory, and takes all requests with it, because many
+// callers send long bodies at the same time.
+TEST_F(ServerTest, LongBodiesOfManyCallersAreBoundedInSum) {
+  constexpr std::size_t kLength = std::size_t{100} << 10U;
+  ServerLimits limits;
+  limits.held_bytes = 3 * kLength;
+  server_->set_limits(limits);
+  const tcp::endpoint address = client_.remote_endpoint();
+  const std::string head =
+      "POST /long HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(kLength) + "\r\n\r\n";
+  std::deque<tcp::socket> others;
+  for (int i = 0; i < 2; ++i) {
+    others.emplace_back(context_).connect(address);
+    asio::write(others.back(), asio::buffer(head + "begin"));
+  }
+  ASSERT_TRUE(RunUntil([&] { return server_->held_bytes() == 2 * kLength; }));
+  Send(head + "begin");
+  ASSERT_TRUE(RunUntil([&] { return Collect().find("\r\n\r\n") != std::string::npos; }));
+  EXPECT_TRUE(collected_.starts_with("HTTP/1.1 503")) << collected_;
+  EXPECT_NE(collected_.find("Retry-After"), std::string::npos);
+  EXPECT_EQ(server_->held_bytes(), 2 * kLength);
+
+  others.emplace_back(context_).connect(address);
+  asio::write(others.back(),
+              asio::buffer(std::string(
+                  "POST /short HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nshort")));
+  ASSERT_TRUE(RunUntil([&] { return received_.size() == 1; })) << "short bodies still have room";
+  received_[0].exchange.Respond(MakeResponse("done"));
+  asio::write(others[0], asio::buffer(std::string(kLength - 5, 'x')));
+  ASSERT_TRUE(RunUntil([&] { return received_.size() == 2; }));
+  EXPECT_EQ(server_->held_bytes(), 2 * kLength) << "until it is answered";
+  received_[1].exchange.Respond(MakeResponse("done"));
+  EXPECT_EQ(server_->held_bytes(), kLength);
+  others[1].close();
+  ASSERT_TRUE(RunUntil([&] { return server_->held_bytes() == 0; })) << "the caller has left";
+}
+
+// Guards against bodies without a stated length that escape the limit.
+TEST_F(ServerTest, ChunkedBodiesCountAsTheyGrow) {
+  ServerLimits limits;
+  limits.held_bytes = std::size_t{256} << 10U;
+  server_->set_limits(limits);
+  Send("POST /long HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n");
+  const std::string chunk = "4000\r\n" + std::string(0x4000, 'x') + "\r\n";
+  for (int i = 0; i < 12; ++i) {
+    Send(chunk);
+    RunUntil([] { return true; });
+  }
+  ASSERT_TRUE(RunUntil([&] { return server_->held_bytes() == 12 * 0x4000U; }));
+  for (int i = 0; i < 3; ++i) {
+    Send(chunk);
+  }
+  ASSERT_TRUE(RunUntil([&] { return Collect().starts_with("HTTP/1.1 503"); }));
+  EXPECT_EQ(server_->held_bytes(), 0U);
+  EXPECT_TRUE(received_.empty());
+}
+
 // Guards against running requests whose caller has disconnected.
 TEST_F(ServerTest, NotifiesWhenTheCallerDisconnects) {
   Send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
--- a/tests/mesh/mesh_settings_test.cc
+++ b/tests/mesh/mesh_settings_test.cc
@@ -19,6 +19,17 @@
   EXPECT_EQ(settings.seeds[1].address, "10.0.0.8");
 }
 
+// Guards against held bodies that exceed the memory of a small machine.
+TEST(MeshSettingsTest, HeldBytesFollowTheMemoryUnlessStated) {
+  const auto held = [](const std::string& limits) {
+    return ParseMeshSettings(std::string(kNode) + "[limits]\n" + limits, "node.ini").held_megabytes;
+  };
+  EXPECT_EQ(held(""), 48U);
+  EXPECT_EQ(held("memory_megabytes = 160\n"), 20U);
+  EXPECT_EQ(held("memory_megabytes = 4\n"), 1U);
+  EXPECT_EQ(held("memory_megabytes = 160\nheld_megabytes = 7\n"), 7U);
+}
+
 // Guards against an error that is reported without its file, line and key, or its allowed range.
 TEST(MeshSettingsTest, ReportsEveryErrorWithItsLine) {
   const std::string text = std::string(kNode) +
