Mesh: Size the held bytes by the memory that the machine reports

The node now takes an eighth of the memory that the system reports, at most 32 MiB, unless held_megabytes is stated.

--- a/libraries/mesh/mesh_node.cc
+++ b/libraries/mesh/mesh_node.cc
@@ -1,5 +1,7 @@
 #include "libraries/mesh/mesh_node.h"
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <random>
 #include <utility>
@@ -45,6 +47,11 @@
                                         .count());
 }
 
+std::size_t MachineMemory() {
+  return static_cast<std::size_t>(std::max(0L, ::sysconf(_SC_PHYS_PAGES))) *
+         static_cast<std::size_t>(std::max(0L, ::sysconf(_SC_PAGESIZE)));
+}
+
 wire::Response ToResponse(transport::CallResult result) {
   if (auto* response = std::get_if<wire::Response>(&result)) {
     return std::move(*response);
@@ -74,18 +81,19 @@
       dialect_(std::move(dialect)),
       node_(NodeNameOf(loop.settings())),
       epoch_(UnixMillisecondsNow()),
+      held_bytes_(loop.settings().HeldBytes(MachineMemory())),
       random_(base::SeededRandom(std::random_device()())),
       log_(clock_),
       instance_(loop.settings().service, kMissedHeartbeats * loop.settings().heartbeat_interval) {
   const MeshSettings& settings = loop_.settings();
   request_path::UpstreamPoolOptions pool_options;
   pool_options.endpoint = settings.upstream;
-  pool_options.held_bytes = settings.held_megabytes << 20U;
+  pool_options.held_bytes = held_bytes_;
   pool_ = std::make_unique<request_path::UpstreamPool>(
       loop_.context(), pool_options, dialect_.headers, [this] { instance_.Suspect(); },
       [this] { instance_.Suspect(); });
   request_path::LocalGateOptions gate_options;
-  gate_options.held_bytes = settings.held_megabytes << 20U;
+  gate_options.held_bytes = held_bytes_;
   gate_ = std::make_unique<request_path::LocalGate>(
       gate_options, instance_, clock_, loop_.timers(),
       [this](wire::Request request, base::TimePoint deadline,
@@ -105,7 +113,7 @@
   entry_options.service = settings.service;
   entry_options.names = dialect_.headers;
   entry_options.budget = settings.retries;
-  entry_options.held_bytes = settings.held_megabytes << 20U;
+  entry_options.held_bytes = held_bytes_;
   request_path::EntryHooks hooks;
   hooks.clock = clock_;
   hooks.random = random_;
@@ -189,7 +197,7 @@
 
   http_stream::ServerLimits limits;
   limits.connections = settings.connections;
-  limits.held_bytes = settings.held_megabytes << 20U;
+  limits.held_bytes = held_bytes_;
   caller_server_ = std::make_unique<http_stream::Server>(
       loop_.context(), limits,
       [this](http_stream::RequestMessage message, base::TimePoint received,
@@ -386,7 +394,7 @@
     entry_->SetDeclaration(declaration);
     http_stream::ServerLimits limits;
     limits.connections = loop_.settings().connections;
-    limits.held_bytes = loop_.settings().held_megabytes << 20U;
+    limits.held_bytes = held_bytes_;
     const declaration::CallerLimits& declared = declaration.limits;
     limits.message.header_bytes = declared.header_bytes.value_or(limits.message.header_bytes);
     limits.message.body_bytes = std::min(limits.message.body_bytes,
--- a/libraries/mesh/mesh_node.h
+++ b/libraries/mesh/mesh_node.h
@@ -67,6 +67,7 @@
   const Dialect dialect_;
   const std::string node_;
   const std::uint64_t epoch_;
+  const std::size_t held_bytes_;  // Limit for the bodies of callers, at the gate and of answers.
   base::Clock clock_ = base::SystemClock();
   base::Random random_;
   request_path::DecisionLog log_;
--- a/libraries/mesh/mesh_settings.cc
+++ b/libraries/mesh/mesh_settings.cc
@@ -18,8 +18,8 @@
 using std::chrono::seconds;
 
 // A body is held several times while it is passed on, and by the gate as well as by the entry.
-constexpr std::int64_t kMemoryPerHeldByte = 8;
-constexpr std::int64_t kMaximumHeld = 4096;
+constexpr std::size_t kMemoryPerHeldByte = 8;
+constexpr std::size_t kMaximumDefaultHeldMegabytes = 32;
 
 constexpr std::array<std::string_view, 7> kSections = {"mesh",    "listen", "upstream", "control",
                                                        "retries", "limits", "log"};
@@ -140,12 +140,10 @@
         parser.Time("drain_time", settings_.drain_time, seconds(1), seconds(600));
     settings_.connections = static_cast<std::size_t>(parser.Integer(
         "connections", static_cast<std::int64_t>(settings_.connections), 16, 60'000));
-    const std::int64_t memory = parser.Integer("memory_megabytes", 0, 0, 1'048'576);
-    const auto held = memory == 0
-                          ? static_cast<std::int64_t>(settings_.held_megabytes)
-                          : std::clamp<std::int64_t>(memory / kMemoryPerHeldByte, 1, kMaximumHeld);
-    settings_.held_megabytes =
-        static_cast<std::size_t>(parser.Integer("held_megabytes", held, 1, kMaximumHeld));
+    if (parser.Has("held_megabytes")) {
+      settings_.held_megabytes = static_cast<std::size_t>(
+          parser.Integer("held_megabytes", kMaximumDefaultHeldMegabytes, 1, 4096));
+    }
     parser.RefuseUnknownKeys();
   }
 
@@ -156,6 +154,12 @@
 
 }  // namespace
 
+std::size_t MeshSettings::HeldBytes(std::size_t machine_memory) const {
+  const std::size_t fitting =
+      std::max<std::size_t>((machine_memory / kMemoryPerHeldByte) >> 20U, 1);
+  return held_megabytes.value_or(std::min(fitting, kMaximumDefaultHeldMegabytes)) << 20U;
+}
+
 MeshSettings ParseMeshSettings(const std::string& text, const std::string& file) {
   std::vector<Issue> issues;
   const IniDocument document = IniDocument::Parse(text, file, issues);
--- a/libraries/mesh/mesh_settings.h
+++ b/libraries/mesh/mesh_settings.h
@@ -40,8 +40,15 @@
   request_path::RetryBudgetOptions retries;
   base::Duration drain_time = std::chrono::seconds(6);
   std::size_t connections = 3000;
-  std::size_t held_megabytes = 48;  // For request bodies, and again for incomplete answers.
+  // For request bodies of callers, and as much for those at the gate and for incomplete answers.
+  std::optional<std::size_t> held_megabytes;
   std::string log_level = "info";
+
+  /**
+   * @param machine_memory Memory of the machine in bytes.
+   * @return Limit of the bytes held: as stated, or else what fits the machine.
+   */
+  std::size_t HeldBytes(std::size_t machine_memory) const;
 };
 
 /**
--- a/tests/mesh/mesh_settings_test.cc
+++ b/tests/mesh/mesh_settings_test.cc
@@ -21,13 +21,14 @@
 
 // Guards against held bodies that exceed the memory of a small machine.
 TEST(MeshSettingsTest, HeldBytesFollowTheMemoryUnlessStated) {
-  const auto held = [](const std::string& limits) {
-    return ParseMeshSettings(std::string(kNode) + "[limits]\n" + limits, "node.ini").held_megabytes;
+  constexpr std::size_t kMegabyte = std::size_t{1} << 20U;
+  const auto held = [](const std::string& limits, std::size_t memory) {
+    return ParseMeshSettings(std::string(kNode) + limits, "node.ini").HeldBytes(memory);
   };
-  EXPECT_EQ(held(""), 48U);
-  EXPECT_EQ(held("memory_megabytes = 160\n"), 20U);
-  EXPECT_EQ(held("memory_megabytes = 4\n"), 1U);
-  EXPECT_EQ(held("memory_megabytes = 160\nheld_megabytes = 7\n"), 7U);
+  EXPECT_EQ(held("", 160 * kMegabyte), 20 * kMegabyte);
+  EXPECT_EQ(held("", 16'384 * kMegabyte), 32 * kMegabyte);
+  EXPECT_EQ(held("", 0), kMegabyte);
+  EXPECT_EQ(held("[limits]\nheld_megabytes = 70\n", 160 * kMegabyte), 70 * kMegabyte);
 }
 
 // Guards against an error that is reported without its file, line and key, or its allowed range.
