Mesh: Separate what control hosts and nodes do from their sockets

ControlService holds what a control host answers to nodes, control hosts and operators; NodePresence holds what a node knows of the fleet and tells of its upstream. ControlNode and MeshNode keep the sockets, the gate and the entry.

--- a/libraries/mesh/mesh_node.cc
+++ b/libraries/mesh/mesh_node.cc
@@ -18,8 +18,6 @@
 constexpr unsigned kNotFound = 404;
 constexpr unsigned kServiceUnavailable = 503;
 
-// Heartbeat intervals without a heartbeat after which an instance is considered gone.
-constexpr int kMissedHeartbeats = 3;
 constexpr std::chrono::milliseconds kCheckInterval{100};
 // A peer that leaves a transport heartbeat unanswered for this long gets no new requests until it
 // answers. Covers several round trips between zones and the pause of a process that has used up its
@@ -28,9 +26,6 @@
 // Time for which a draining node keeps running even if it is idle: callers are sent elsewhere only
 // after two failed readiness checks, which are 1 s apart.
 constexpr std::chrono::milliseconds kMinimumDrainTime{2800};
-// Time after the start of a drain at which the record of the local upstream changes to leaving. The
-// rest of the minimum drain time suffices to propagate the change and to finish the work begun.
-constexpr std::chrono::milliseconds kWithdrawalDelay{1300};
 // Time after the start of a drain at which the gate closes. Nodes that have not learned of the
 // withdrawal by then are refused and choose other instances.
 constexpr std::chrono::milliseconds kGateCloseDelay{2000};
@@ -80,35 +75,27 @@
     : loop_(loop),
       dialect_(std::move(dialect)),
       node_(NodeNameOf(loop.settings())),
-      epoch_(UnixMillisecondsNow()),
       held_bytes_(loop.settings().HeldBytes(MachineMemory())),
       random_(base::SeededRandom(std::random_device()())),
-      log_(clock_),
-      instance_(loop.settings().service, kMissedHeartbeats * loop.settings().heartbeat_interval) {
+      log_(clock_) {
   const MeshSettings& settings = loop_.settings();
+  presence_ = std::make_unique<NodePresence>(settings, UnixMillisecondsNow(), dialect_,
+                                             MakePresenceHooks(), loop_.timers());
   request_path::UpstreamPoolOptions pool_options;
   pool_options.endpoint = settings.upstream;
   pool_options.held_bytes = held_bytes_;
   pool_ = std::make_unique<request_path::UpstreamPool>(
-      loop_.context(), pool_options, dialect_.headers, [this] { instance_.Suspect(); },
-      [this] { instance_.Suspect(); });
+      loop_.context(), pool_options, dialect_.headers, [this] { presence_->instance().Suspect(); },
+      [this] { presence_->instance().Suspect(); });
   request_path::LocalGateOptions gate_options;
   gate_options.held_bytes = held_bytes_;
   gate_ = std::make_unique<request_path::LocalGate>(
-      gate_options, instance_, clock_, loop_.timers(),
+      gate_options, presence_->instance(), clock_, loop_.timers(),
       [this](wire::Request request, base::TimePoint deadline,
              request_path::ResponseHandler handler) {
         return pool_->Run(std::move(request), deadline, std::move(handler));
       },
       log_);
-  InstanceProbeHooks probe_hooks;
-  probe_hooks.send_probe = [this](const std::string& path,
-                                  InstanceProbeHooks::AnswerHandler handler) {
-    pool_->AskHealth(path, clock_() + kHealthCheckTimeout, std::move(handler));
-  };
-  probe_hooks.on_found = [this] { PublishRecord(); };
-  probe_ = std::make_unique<InstanceProbe>(instance_, dialect_.headers, std::move(probe_hooks),
-                                           clock_());
   request_path::EntryOptions entry_options;
   entry_options.service = settings.service;
   entry_options.names = dialect_.headers;
@@ -138,6 +125,31 @@
 
 MeshNode::~MeshNode() = default;
 
+NodePresenceHooks MeshNode::MakePresenceHooks() {
+  NodePresenceHooks hooks;
+  hooks.clock = clock_;
+  hooks.send = [this](const std::string& host, std::string payload) {
+    peers_->SendControl(PeerAddressOf(host), wire::Channel::kMembership, std::move(payload));
+  };
+  hooks.send_probe = [this](const std::string& path, InstanceProbeHooks::AnswerHandler handler) {
+    pool_->AskHealth(path, clock_() + kHealthCheckTimeout, std::move(handler));
+  };
+  hooks.describe_load = [this](directory::InstanceRecord& record) { DescribeLoad(record); };
+  hooks.on_declaration = [this](const declaration::Declaration& declaration) {
+    HandleDeclaration(declaration);
+  };
+  hooks.on_records = [this](const directory::NodeSet& changed) { HandleRecords(changed); };
+  hooks.on_own_record = [this](const directory::InstanceRecord& record) {
+    if (record.instance.empty()) {
+      entry_->chooser().Remove(node_);
+    } else {
+      entry_->chooser().Set(record);
+    }
+  };
+  hooks.on_instance_lost = [this] { pool_->DropIdle(); };
+  return hooks;
+}
+
 void MeshNode::Listen() {
   const MeshSettings& settings = loop_.settings();
   transport::TransportHooks hooks;
@@ -148,46 +160,12 @@
   hooks.handle_cancel = [this](transport::InboundRequestId id) { HandlePeerCancel(id); };
   hooks.handle_control = [this](const std::string& from, wire::Channel,
                                 const std::string& payload) {
-    try {
-      const directory::Message message = directory::Decode(payload);
-      if (const auto* answer = std::get_if<directory::SyncAnswer>(&message)) {
-        sync_->Receive(from, *answer);
-      } else if (const auto* departures = std::get_if<directory::DepartureAnswer>(&message)) {
-        const bool had_recalled = departures_->has_recalled();
-        departures_->Receive(*departures);
-        if (!had_recalled) {
-          PublishRecord();
-        }
-      }
-    } catch (const directory::DirectoryError& error) {
-      base::Log(base::LogLevel::kWarning, "directory_message_refused",
-                {{"from", from}, {"error", error.what()}});
-    }
-  };
-  DirectorySyncHooks sync_hooks;
-  sync_hooks.clock = clock_;
-  sync_hooks.send = [this](const std::string& address, std::string bytes) {
-    peers_->SendControl(PeerAddressOf(address), wire::Channel::kMembership, std::move(bytes));
+    presence_->HandleControl(from, payload);
   };
-  sync_hooks.on_records = [this](const directory::NodeSet& changed) { HandleRecords(changed); };
-  sync_hooks.on_declaration = [this](std::uint64_t version, const std::string& text) {
-    HandleDeclaration(version, text);
-  };
-  sync_ =
-      std::make_unique<DirectorySync>(settings.zone, SeedNodes(settings), std::move(sync_hooks));
-  DepartureKeeperHooks departure_hooks;
-  departure_hooks.clock = clock_;
-  departure_hooks.send = [this](const std::string& bytes) {
-    for (const std::string& host : sync_->HostsToReach()) {
-      peers_->SendControl(PeerAddressOf(host), wire::Channel::kMembership, bytes);
-    }
-  };
-  departures_ =
-      std::make_unique<DepartureKeeper>(node_, epoch_, instance_, std::move(departure_hooks));
   transport::TransportOptions peer_options = PeerOptions(settings);
   // Traffic within a zone is cheap; traffic between zones is worth the CPU time to compress it.
   peer_options.crosses_zones = [this](const std::string& node) {
-    const auto& records = sync_->view().records();
+    const auto& records = presence_->view().records();
     const auto record = records.find(node);
     return record == records.end() || record->second.zone != loop_.settings().zone;
   };
@@ -223,29 +201,16 @@
                const http_stream::Exchange& exchange) { RespondMetrics(exchange); });
     metrics_server_->Listen(*settings.metrics);
   }
-  PollControlHosts();
-  departures_->Start();
-  loop_.timers().SubscribeEvery(DepartureKeeper::kPollInterval,
-                                [this](base::TimePoint) { departures_->Poll(); });
   loop_.timers().SubscribeEvery(kCheckInterval, [this](base::TimePoint) {
     peers_->CheckHeartbeats();
-    CheckInstance();
-    startup_report_.Check(startup_state(), clock_());
     CheckDrained();
   });
-  PublishRecord();
+  presence_->Start();
   base::Log(base::LogLevel::kInfo, "node_started",
             {{"node", node_},
              {"name", settings.name},
              {"zone", settings.zone},
-             {"service", settings.service},
-             {"epoch", static_cast<Json::UInt64>(epoch_)}});
-}
-
-void MeshNode::PollControlHosts() {
-  sync_->Poll();
-  loop_.timers().SubscribeOnce(sync_->poll_interval(),
-                               [this](base::TimePoint) { PollControlHosts(); });
+             {"service", settings.service}});
 }
 
 void MeshNode::HandleCallerRequest(http_stream::RequestMessage message, base::TimePoint received,
@@ -267,10 +232,10 @@
     const bool is_ready = entry_->version() > 0 && !draining_since_;
     status = is_ready ? kOk : kServiceUnavailable;
   } else if (const auto* heartbeat = std::get_if<HeartbeatCall>(&call)) {
-    HandleHeartbeat(*heartbeat, exchange);
+    presence_->HandleHeartbeat(heartbeat->heartbeat, RespondToAnnouncement(exchange));
     return;
   } else if (const auto* leave = std::get_if<LeaveCall>(&call)) {
-    HandleLeave(*leave, exchange);
+    presence_->HandleLeave(leave->incarnation, RespondToAnnouncement(exchange));
     return;
   } else if (const auto* refused = std::get_if<RefusedCall>(&call)) {
     status = refused->status;
@@ -281,71 +246,21 @@
   exchange.Respond(MakeResponse(status, std::move(body), dialect_.content_type));
 }
 
-void MeshNode::HandleHeartbeat(const HeartbeatCall& call, const http_stream::Exchange& exchange) {
-  const std::string previous_instance = instance_.instance();
-  const bool was_leaving = instance_.leaving_since().has_value();
-  const directory::HeartbeatOutcome outcome = instance_.HandleHeartbeat(call.heartbeat, clock_());
-  if (outcome == directory::HeartbeatOutcome::kOtherService) {
-    exchange.Respond(MakeResponse(kBadRequest, "", dialect_.content_type));
-    return;
-  }
-  if (outcome == directory::HeartbeatOutcome::kTaken) {
-    const bool is_replaced = previous_instance != instance_.instance();
-    if (is_replaced) {
-      pool_->DropIdle();
+AnnouncementCallback MeshNode::RespondToAnnouncement(const http_stream::Exchange& exchange) const {
+  return [this, exchange](AnnouncementOutcome outcome) {
+    switch (outcome) {
+      case AnnouncementOutcome::kTaken:
+        exchange.Respond(MakeResponse(kOk, dialect_.acknowledgement, dialect_.content_type));
+        return;
+      case AnnouncementOutcome::kOtherService:
+        exchange.Respond(MakeResponse(kBadRequest, "", dialect_.content_type));
+        return;
+      case AnnouncementOutcome::kNotRecorded:
+        exchange.Respond(MakeResponse(kServiceUnavailable, "the departure is not recorded",
+                                      dialect_.content_type));
+        return;
     }
-    if (is_replaced || was_leaving != instance_.leaving_since().has_value()) {
-      base::Log(base::LogLevel::kInfo, "instance_heard",
-                {{"instance", instance_.instance()},
-                 {"before", previous_instance},
-                 {"leaving", instance_.leaving_since().has_value()},
-                 {"sequence", static_cast<Json::UInt64>(call.heartbeat.sequence)},
-                 {"born", static_cast<Json::UInt64>(call.heartbeat.born)},
-                 {"slots", call.heartbeat.slots}});
-    }
-  }
-  PublishRecord();
-  if (call.heartbeat.state == directory::InstanceState::kLeaving) {
-    AcknowledgeDeparture({call.heartbeat.instance, call.heartbeat.born}, exchange);
-  } else {
-    Acknowledge(exchange);
-  }
-}
-
-void MeshNode::HandleLeave(const LeaveCall& call, const http_stream::Exchange& exchange) {
-  const bool is_known = instance_.HandleLeave(call.incarnation, clock_());
-  base::Log(base::LogLevel::kInfo, "instance_left",
-            {{"instance", call.incarnation.instance},
-             {"born", static_cast<Json::UInt64>(call.incarnation.born)},
-             {"known", is_known}});
-  PublishRecord();
-  directory::Incarnation departed = call.incarnation;
-  if (departed.born == 0 && is_known) {
-    departed = instance_.incarnation();
-  }
-  AcknowledgeDeparture(departed, exchange);
-}
-
-// The sender counts on an acknowledged departure, so it is recorded where it outlives this process.
-void MeshNode::AcknowledgeDeparture(const directory::Incarnation& departed,
-                                    const http_stream::Exchange& exchange) {
-  if (departed.born == 0) {
-    // Without its start the process cannot be told from its successor, so there is nothing to keep.
-    Acknowledge(exchange);
-    return;
-  }
-  departures_->Record(departed, [this, exchange](RecordOutcome outcome) {
-    if (outcome == RecordOutcome::kRecorded) {
-      Acknowledge(exchange);
-    } else {
-      exchange.Respond(MakeResponse(kServiceUnavailable, "the departure is not recorded",
-                                    dialect_.content_type));
-    }
-  });
-}
-
-void MeshNode::Acknowledge(const http_stream::Exchange& exchange) {
-  exchange.Respond(MakeResponse(kOk, dialect_.acknowledgement, dialect_.content_type));
+  };
 }
 
 request_path::CancelHook MeshNode::Send(const directory::InstanceRecord& instance,
@@ -388,37 +303,22 @@
   gate_->Cancel(ticket);
 }
 
-void MeshNode::HandleDeclaration(std::uint64_t version, const std::string& text) {
-  try {
-    const declaration::Declaration declaration = dialect_.decode_declaration(text);
-    entry_->SetDeclaration(declaration);
-    http_stream::ServerLimits limits;
-    limits.connections = loop_.settings().connections;
-    limits.held_bytes = held_bytes_;
-    const declaration::CallerLimits& declared = declaration.limits;
-    limits.message.header_bytes = declared.header_bytes.value_or(limits.message.header_bytes);
-    limits.message.body_bytes = std::min(limits.message.body_bytes,
-                                         declared.body_bytes.value_or(limits.message.body_bytes));
-    limits.header_timeout = declared.header_timeout.value_or(limits.header_timeout);
-    limits.idle_timeout = declared.idle_timeout.value_or(limits.idle_timeout);
-    caller_server_->set_limits(limits);
-    for (const declaration::ServiceEntry& service : declaration.services) {
-      if (service.name == loop_.settings().service) {
-        health_path_ = service.health_path;
-      }
-    }
-    CheckInstance();
-    base::Log(base::LogLevel::kInfo, "declaration_in_force",
-              {{"version", static_cast<Json::UInt64>(version)},
-               {"routes", static_cast<Json::UInt64>(declaration.routes.size())}});
-  } catch (const declaration::DeclarationError& error) {
-    base::Log(base::LogLevel::kError, "declaration_unreadable",
-              {{"version", static_cast<Json::UInt64>(version)}, {"error", error.what()}});
-  }
+void MeshNode::HandleDeclaration(const declaration::Declaration& declaration) {
+  entry_->SetDeclaration(declaration);
+  http_stream::ServerLimits limits;
+  limits.connections = loop_.settings().connections;
+  limits.held_bytes = held_bytes_;
+  const declaration::CallerLimits& declared = declaration.limits;
+  limits.message.header_bytes = declared.header_bytes.value_or(limits.message.header_bytes);
+  limits.message.body_bytes =
+      std::min(limits.message.body_bytes, declared.body_bytes.value_or(limits.message.body_bytes));
+  limits.header_timeout = declared.header_timeout.value_or(limits.header_timeout);
+  limits.idle_timeout = declared.idle_timeout.value_or(limits.idle_timeout);
+  caller_server_->set_limits(limits);
 }
 
 void MeshNode::HandleRecords(const directory::NodeSet& changed) {
-  const std::map<std::string, directory::InstanceRecord>& records = sync_->view().records();
+  const std::map<std::string, directory::InstanceRecord>& records = presence_->view().records();
   for (const std::string& node : changed) {
     if (node == node_) {
       continue;  // The node's own record is newer than the copy that the control hosts return.
@@ -433,71 +333,17 @@
   entry_->budget().set_nodes(records.size() + own);
 }
 
-void MeshNode::PublishRecord() {
-  directory::InstanceRecord record;
-  record.node = node_;
-  record.zone = loop_.settings().zone;
-  record.epoch = epoch_;
-  if (instance_.is_known() && !instance_.is_suspect()) {
-    record.service = instance_.service();
-    record.instance = instance_.instance();
-    record.born = instance_.incarnation().born;
-    record.slots = instance_.slots();
-    const bool is_leaving = instance_.leaving_since() || IsWithdrawn();
-    record.state =
-        is_leaving ? directory::InstanceState::kLeaving : directory::InstanceState::kServing;
-    record.remote_calls = entry_->RemoteCalls(gate_->counters().calls_started);
-    record.slowdown_steps = gate_->slowdown_steps();
-    if (entry_->has_seen_calls()) {
-      record.calls = directory::CallUse::kSome;
-    } else if (gate_->counters().started >= kRequestsToAssumeNoCalls) {
-      record.calls = directory::CallUse::kNone;
-    }
-    record.warm_up_left_ms = instance_.WarmUpLeft(clock_()) > base::Duration::zero() ? 1 : 0;
-  }
-  record.revision = record_revision_;
-  if (record == record_ && record_revision_ > 0) {
-    return;
-  }
-  record.revision = ++record_revision_;
-  record_ = record;
-  sync_->SetRecord(record_);
-  if (record_.instance.empty()) {
-    entry_->chooser().Remove(node_);
-  } else {
-    entry_->chooser().Set(record_);
+void MeshNode::DescribeLoad(directory::InstanceRecord& record) const {
+  record.remote_calls = entry_->RemoteCalls(gate_->counters().calls_started);
+  record.slowdown_steps = gate_->slowdown_steps();
+  if (entry_->has_seen_calls()) {
+    record.calls = directory::CallUse::kSome;
+  } else if (gate_->counters().started >= kRequestsToAssumeNoCalls) {
+    record.calls = directory::CallUse::kNone;
   }
 }
 
-bool MeshNode::IsWithdrawn() const {
-  return draining_since_ && clock_() - *draining_since_ >= kWithdrawalDelay;
-}
-
-void MeshNode::CheckInstance() {
-  if (!draining_since_) {
-    probe_->Check(health_path_, clock_());
-  }
-  const std::string instance = instance_.instance();
-  if (instance_.ExpireIfSilent(clock_())) {
-    base::Log(base::LogLevel::kWarning, "instance_silent", {{"instance", instance}});
-    pool_->DropIdle();
-  }
-  PublishRecord();
-}
-
-StartupState MeshNode::startup_state() const {
-  StartupState state;
-  state.control_hosts = sync_->reachable_hosts();
-  state.has_declaration = entry_->version() > 0;
-  state.has_recalled_departures = departures_->has_recalled();
-  state.has_instance = instance_.is_known();
-  state.instances = sync_->view().records().size();
-  return state;
-}
-
-void MeshNode::HandleSettings(const MeshSettings& settings) {
-  sync_->SetSeeds(SeedNodes(settings));
-}
+void MeshNode::HandleSettings(const MeshSettings& settings) { presence_->HandleSettings(settings); }
 
 void MeshNode::BeginDrain() {
   if (draining_since_) {
@@ -508,7 +354,7 @@
             {{"exchanges", static_cast<Json::UInt64>(caller_server_->exchanges_in_progress())},
              {"running", static_cast<Json::UInt64>(gate_->running())}});
   caller_server_->BeginDrain();
-  PublishRecord();
+  presence_->BeginDrain();
 }
 
 void MeshNode::CheckDrained() {
@@ -569,11 +415,11 @@
            caller_server_->connection_count());
   text.Add("borageloft_declaration_version", "Declaration in force", entry_->version());
   text.Add("borageloft_instances_known", "Instances in the directory",
-           sync_->view().records().size());
+           presence_->view().records().size());
   text.Add("borageloft_startup_waits", "Things that the node lacks to answer requests",
-           FindWaits(startup_state()).size());
+           FindWaits(presence_->startup_state()).size());
   text.Add("borageloft_control_hosts", "Control hosts that answered lately",
-           sync_->reachable_hosts());
+           presence_->reachable_control_hosts());
   text.Add("borageloft_log_lines_dropped_total", "Log lines beyond the bound", log_.dropped());
   exchange.Respond(MakeResponse(kOk, text.Serialize(), "text/plain; version=0.0.4"));
 }
--- a/libraries/mesh/mesh_node.h
+++ b/libraries/mesh/mesh_node.h
@@ -6,13 +6,10 @@
 #include <optional>
 #include <string>
 
-#include "libraries/mesh/departure_keeper.h"
 #include "libraries/mesh/dialect.h"
-#include "libraries/mesh/directory_sync.h"
-#include "libraries/mesh/instance_probe.h"
 #include "libraries/mesh/mesh_settings.h"
 #include "libraries/mesh/node_loop.h"
-#include "libraries/mesh/startup_report.h"
+#include "libraries/mesh/node_presence.h"
 
 namespace borageloft::mesh {
 
@@ -39,50 +36,35 @@
 
  private:
   void Listen();
-  void PollControlHosts();
+  NodePresenceHooks MakePresenceHooks();
   void HandleCallerRequest(http_stream::RequestMessage message, base::TimePoint received,
                            const http_stream::Exchange& exchange);
   void HandleCall(const http_stream::RequestMessage& message,
                   const http_stream::Exchange& exchange);
-  void HandleHeartbeat(const HeartbeatCall& call, const http_stream::Exchange& exchange);
-  void HandleLeave(const LeaveCall& call, const http_stream::Exchange& exchange);
-  void AcknowledgeDeparture(const directory::Incarnation& departed,
-                            const http_stream::Exchange& exchange);
-  void Acknowledge(const http_stream::Exchange& exchange);
+  AnnouncementCallback RespondToAnnouncement(const http_stream::Exchange& exchange) const;
   request_path::CancelHook Send(const directory::InstanceRecord& instance, wire::Request request,
                                 request_path::ResponseHandler handler);
   void HandlePeerRequest(const transport::InboundRequestId& id, wire::Request request,
                          transport::Responder respond);
   void HandlePeerCancel(const transport::InboundRequestId& id);
-  void HandleDeclaration(std::uint64_t version, const std::string& text);
+  void HandleDeclaration(const declaration::Declaration& declaration);
   void HandleRecords(const directory::NodeSet& changed);
-  void PublishRecord();
-  bool IsWithdrawn() const;
-  void CheckInstance();
-  StartupState startup_state() const;
+  void DescribeLoad(directory::InstanceRecord& record) const;
   void CheckDrained();
   void RespondMetrics(const http_stream::Exchange& exchange);
 
   NodeLoop& loop_;
   const Dialect dialect_;
   const std::string node_;
-  const std::uint64_t epoch_;
   const std::size_t held_bytes_;  // Limit for the bodies of callers, at the gate and of answers.
   base::Clock clock_ = base::SystemClock();
   base::Random random_;
   request_path::DecisionLog log_;
-  directory::LocalInstance instance_;
-  std::uint64_t record_revision_ = 0;
-  directory::InstanceRecord record_;
+  std::unique_ptr<NodePresence> presence_;
   std::unique_ptr<request_path::UpstreamPool> pool_;
   std::unique_ptr<request_path::LocalGate> gate_;
-  std::unique_ptr<InstanceProbe> probe_;
-  std::string health_path_;  // Of the local upstream, from the declaration in force.
   std::unique_ptr<request_path::Entry> entry_;
-  std::unique_ptr<DirectorySync> sync_;
-  std::unique_ptr<DepartureKeeper> departures_;
   std::unique_ptr<transport::PeerTransport> peers_;
-  StartupReport startup_report_{clock_()};
   std::map<transport::InboundRequestId, request_path::GateTicket> inbound_;
   std::unique_ptr<http_stream::Server> caller_server_;
   std::unique_ptr<http_stream::Server> readiness_server_;
