Declaration: Refuse an empty host that has no routes

Callers and operators: a declaration that names an empty host was acknowledged (CONFIG: an invalid one was taken) if that host had no routes.

Cause: a fault of a host was looked for in its routes only; the decoder kept no host besides them.

Evidence: ConfigurationCodecTest.RefusesAnEmptyHostWithoutRoutes got no fault before the change and "a host is empty" with it. Looked for elsewhere: services (empty and repeated names are refused), a split without parts (refused).

--- a/libraries/declaration/routes.cc
+++ b/libraries/declaration/routes.cc
@@ -76,6 +76,10 @@
       return "a service name is empty or stands twice: '" + service.name + "'";
     }
   }
+  if (std::find(declaration.hosts.begin(), declaration.hosts.end(), "") !=
+      declaration.hosts.end()) {
+    return "a host is empty";
+  }
   std::set<std::pair<std::string, std::string>> host_prefixes;
   for (const Route& route : declaration.routes) {
     if (auto fault = FindRouteFault(route, services)) {
--- a/libraries/declaration/routes.h
+++ b/libraries/declaration/routes.h
@@ -66,6 +66,7 @@
 struct Declaration {
   Version version = 0;
   std::vector<ServiceEntry> services;
+  std::vector<std::string> hosts;  ///< All hosts that are named, also those without routes.
   std::vector<Route> routes;
   CallerLimits limits;
 };
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -55,6 +55,12 @@
   }
 }
 
+// Guards against accepting an empty host because it has no route that could be checked.
+TEST(ConfigurationCodecTest, RefusesAnEmptyHostWithoutRoutes) {
+  EXPECT_EQ(FaultAfterReplacing("\"hosts\":[", "\"hosts\":[{\"host\":\"\",\"paths\":[]},"),
+            "a host is empty");
+}
+
 // Guards against a default in place of a stated value that has no meaning.
 TEST(ConfigurationCodecTest, RefusesZeroAndContradictoryValues) {
   EXPECT_FALSE(FaultAfterReplacing("\"timeout_ms\":800", "\"timeout_ms\":801"));
