Declaration: Store long declarations compressed

Operators: a declaration of more than 512 KiB, about 2,800 routes, was answered 503 for good, and so was each change after it.

Cause: an entry of the replicated log is bounded at 512 KiB; the refusal of the log was answered like a group that cannot accept now.

Ruled out: a higher bound on entries. The leader and each control host would send megabytes to each receiver, and the frames of the earlier path (1.25 MiB) would no longer fit an entry.

Change: a text of 256 KiB or more is compressed in its entry; the digest that recognizes a repeated order and the text that is served stay those of the plain text. Shorter texts are stored as before, so logs of the earlier release are read. An entry that does not fit even so is answered 413 and no longer 503.

--- a/libraries/control_member/member.cc
+++ b/libraries/control_member/member.cc
@@ -490,6 +490,11 @@
           case replication::ProposalOutcomeKind::kNotLeader:
             callback(ReplaceStatus::kNotLeader);
             return;
+          case replication::ProposalOutcomeKind::kRefused:
+            callback(outcome.status == consensus::ProposalStatus::kTooLarge
+                         ? ReplaceStatus::kTooLarge
+                         : ReplaceStatus::kUnavailable);
+            return;
           default:
             callback(ReplaceStatus::kUnavailable);
         }
--- a/libraries/control_member/member.h
+++ b/libraries/control_member/member.h
@@ -46,6 +46,7 @@
   kAccepted,     // Stored durably on a majority, and in force.
   kWrongBase,    // Refused: another version is in force.
   kNotAbove,     // Refused: the new version is not above the one in force.
+  kTooLarge,     // Refused: its entry does not fit the replicated log.
   kNotLeader,    // No effect; MemberStatus names the leader if it is known.
   kUnavailable,  // No effect, or unknown: the group cannot accept a declaration now.
 };
--- a/libraries/declaration/declaration_register.cc
+++ b/libraries/declaration/declaration_register.cc
@@ -1,5 +1,7 @@
 #include "libraries/declaration/declaration_register.h"
 
+#include <zlib.h>
+
 #include <algorithm>
 #include <cstring>
 #include <utility>
@@ -30,13 +32,53 @@
 
 std::uint64_t ComputeDigest(std::string_view text) { return base::Hash(text); }
 
+// Begins a compressed text, and is followed by the size of the text. No declaration begins with it.
+constexpr char kCompressedMark = '\0';
+// A shorter text is stored as it is, because hosts of an earlier release cannot decompress it.
+constexpr std::size_t kMinCompressedBytes = std::size_t{256} << 10U;
+constexpr std::uint64_t kMaxTextBytes = std::uint64_t{16} << 20U;
+
+std::string Compress(const std::string& text) {
+  uLongf size = compressBound(text.size());
+  std::string compressed(size, '\0');
+  // The output has room for the worst case, so only a lack of memory can make this fail.
+  if (compress2(reinterpret_cast<Bytef*>(compressed.data()), &size,
+                reinterpret_cast<const Bytef*>(text.data()), text.size(),
+                Z_DEFAULT_COMPRESSION) != Z_OK) {
+    throw DeclarationError("declaration cannot be compressed");
+  }
+  compressed.resize(size);
+  return compressed;
+}
+
+std::string Decompress(std::string_view bytes) {
+  const std::uint64_t stated_size = ReadNumber(bytes);
+  if (stated_size > kMaxTextBytes) {
+    throw DeclarationError("compressed declaration is too large");
+  }
+  std::string text(stated_size, '\0');
+  uLongf size = text.size();
+  if (uncompress(reinterpret_cast<Bytef*>(text.data()), &size,
+                 reinterpret_cast<const Bytef*>(bytes.data()), bytes.size()) != Z_OK ||
+      size != text.size()) {
+    throw DeclarationError("compressed declaration is damaged");
+  }
+  return text;
+}
+
 }  // namespace
 
 std::string EncodeCommand(const ReplaceCommand& command) {
   std::string bytes;
   AppendNumber(bytes, command.base);
   AppendNumber(bytes, command.version);
-  bytes += command.text;
+  if (command.text.size() < kMinCompressedBytes) {
+    bytes += command.text;
+    return bytes;
+  }
+  bytes += kCompressedMark;
+  AppendNumber(bytes, command.text.size());
+  bytes += Compress(command.text);
   return bytes;
 }
 
@@ -44,7 +86,11 @@
   ReplaceCommand command;
   command.base = ReadNumber(bytes);
   command.version = ReadNumber(bytes);
-  command.text = std::string(bytes);
+  if (bytes.starts_with(kCompressedMark)) {
+    command.text = Decompress(bytes.substr(1));
+  } else {
+    command.text = std::string(bytes);
+  }
   return command;
 }
 
--- a/libraries/declaration/declaration_register.h
+++ b/libraries/declaration/declaration_register.h
@@ -24,7 +24,7 @@
   std::string text;     ///< The declaration as the operator submitted it.
 };
 
-/** @return @p command as an entry of the replicated log. */
+/** @return @p command as an entry of the replicated log; a long text is compressed. */
 std::string EncodeCommand(const ReplaceCommand& command);
 
 /** @throws DeclarationError If @p bytes are not a valid command. */
--- a/libraries/mesh/control_service.cc
+++ b/libraries/mesh/control_service.cc
@@ -14,6 +14,7 @@
 constexpr unsigned kBadRequest = 400;
 constexpr unsigned kNotFound = 404;
 constexpr unsigned kPreconditionFailed = 412;
+constexpr unsigned kContentTooLarge = 413;
 constexpr unsigned kServiceUnavailable = 503;
 
 // Each node renews its record at two control hosts within 1.5 s; the lifetime of three such
@@ -257,6 +258,9 @@
           case control_member::ReplaceStatus::kNotAbove:
             respond(MakeResponse(kBadRequest, "the version is not above the one in force"));
             return;
+          case control_member::ReplaceStatus::kTooLarge:
+            respond(MakeResponse(kContentTooLarge, "the declaration is too large even compressed"));
+            return;
           case control_member::ReplaceStatus::kNotLeader:
             Redirect(target, respond);
             return;
--- a/tests/control_member/member_test.cc
+++ b/tests/control_member/member_test.cc
@@ -415,6 +415,41 @@
   ReplaceUntilAcknowledged(world, seconds(3));
 }
 
+// Guards against a declaration of many routes that is answered as unavailable for good, because its
+// text does not fit an entry of the log.
+TEST(MemberTest, ADeclarationOfManyRoutesIsAccepted) {
+  World world(12);
+  FormGroup(world);
+  ReplaceUntilAcknowledged(world, seconds(3));
+  std::string text;
+  while (text.size() < (std::size_t{3} << 20U)) {
+    text += "route of host " + std::to_string(world.random() % 100'000) + " to the service parts\n";
+  }
+  const auto replace = [&](const std::string& next_text) {
+    const declaration::Version base = world.member(world.Leader()).applied().version();
+    std::optional<ReplaceStatus> status;
+    world.member(world.Leader()).Replace({base, base + 1, next_text}, [&](ReplaceStatus result) {
+      status = result;
+    });
+    world.Advance(seconds(2));
+    return status;
+  };
+  ASSERT_EQ(replace(text), ReplaceStatus::kAccepted);
+  for (const std::string& host : kHosts) {
+    EXPECT_EQ(world.member(host).applied().text(), text) << host;
+  }
+  RestartAllWithTwoLostDisks(world);
+  ASSERT_TRUE(world.AdvanceUntil(seconds(10), [&] { return world.HasAllVoters(); }));
+  for (const std::string& host : kHosts) {
+    EXPECT_EQ(world.member(host).applied().text(), text) << host;
+  }
+  std::string incompressible;
+  while (incompressible.size() < (std::size_t{1} << 20U)) {
+    incompressible += static_cast<char>(world.random());
+  }
+  EXPECT_EQ(replace(incompressible), ReplaceStatus::kTooLarge);
+}
+
 // Guards against reading a stale declaration from the old leader during a network partition.
 TEST(MemberTest, PartitionedLeaderServesNoStaleRead) {
   for (std::uint64_t seed = 1; seed <= 10; ++seed) {
--- a/tests/declaration/declaration_test.cc
+++ b/tests/declaration/declaration_test.cc
@@ -170,5 +170,23 @@
   EXPECT_THROW(DecodeCommand("x"), DeclarationError);
 }
 
+TEST(DeclarationRegisterTest, CompressesALongCommand) {
+  std::string text;
+  while (text.size() < (std::size_t{1} << 20U)) {
+    text += "route " + std::to_string(text.size()) + " of a long declaration\n";
+  }
+  const std::string bytes = EncodeCommand({7, 9, text});
+  EXPECT_LT(bytes.size(), text.size() / 4);
+  const ReplaceCommand decoded = DecodeCommand(bytes);
+  EXPECT_EQ(decoded.base, 7U);
+  EXPECT_EQ(decoded.version, 9U);
+  EXPECT_EQ(decoded.text, text);
+  EXPECT_THROW(DecodeCommand(bytes.substr(0, bytes.size() - 10)), DeclarationError);
+  EXPECT_THROW(DecodeCommand(bytes.substr(0, 20)), DeclarationError);
+  std::string oversized = bytes;
+  oversized[24] = '\x7f';  // The highest byte of the stated size.
+  EXPECT_THROW(DecodeCommand(oversized), DeclarationError);
+}
+
 }  // namespace
 }  // namespace borageloft::declaration
