Replication: Forget learners that are gone for good

Cause: only a later replica at the same address removed a learner. One at an address that is never used again kept its place, and a group has 16 places.

Change: the leader removes a learner that it has not heard for 10 s. If it returns it asks for its membership, learns of its removal and joins again, as a removed voter does.

--- a/libraries/replication/membership_repair.cc
+++ b/libraries/replication/membership_repair.cc
@@ -40,6 +40,10 @@
          (!view.is_reachable(replica) && view.time_since_contact(replica) >= view.replace_after);
 }
 
+bool IsForgotten(const RepairView& view, ReplicaId learner) {
+  return !view.is_reachable(learner) && view.time_since_contact(learner) >= view.forget_after;
+}
+
 std::optional<ReplicaId> FindLostVoter(const RepairView& view) {
   for (const auto& [replica, member] : view.membership.members()) {
     if (member.is_voter && replica != view.leader && IsLost(view, replica)) {
@@ -56,7 +60,8 @@
     if (member.is_voter) {
       continue;
     }
-    if (IsReplaced(view, learner, member)) {
+    // A learner that is gone for good would take up one of the limited places for members.
+    if (IsReplaced(view, learner, member) || IsForgotten(view, learner)) {
       return MembershipChange{MembershipChangeKind::kRemove, learner, ""};
     }
     if (!view.has_caught_up(learner)) {
--- a/libraries/replication/membership_repair.h
+++ b/libraries/replication/membership_repair.h
@@ -17,6 +17,8 @@
   std::size_t target_voters = 0;
   /** Time without contact after which a voter is replaced by a learner that has caught up. */
   base::Duration replace_after = std::chrono::seconds(2);
+  /** Time without contact after which a learner is removed. */
+  base::Duration forget_after = std::chrono::seconds(10);
   /** Address of a member's host; a replica replaces earlier ones at the same address. */
   std::function<std::string(const std::string& host)> address_of;
   std::function<bool(consensus::ReplicaId)> is_reachable;
@@ -30,7 +32,7 @@
 /**
  * Plans the next membership change. Each change affects one member, and a voter is removed only if
  * a learner that has caught up can take its place, so that committed entries stay on as many disks
- * as before.
+ * as before. A learner that is lost is removed without that; it joins again if it returns.
  * @return The change to propose, or nothing.
  */
 std::optional<consensus::MembershipChange> PlanRepair(const RepairView& view);
--- a/libraries/replication/replica_host.cc
+++ b/libraries/replication/replica_host.cc
@@ -224,6 +224,7 @@
   view.leader = replica_->id();
   view.target_voters = options_.target_voters;
   view.replace_after = options_.replace_after;
+  view.forget_after = options_.forget_after;
   view.address_of = options_.address_of;
   view.is_reachable = [this](consensus::ReplicaId replica) {
     return replica_->IsReachable(replica);
--- a/libraries/replication/replica_host_options.h
+++ b/libraries/replication/replica_host_options.h
@@ -33,6 +33,11 @@
   std::size_t target_voters = 0;
   /** Time without contact after which a voter is replaced by a spare. */
   base::Duration replace_after = std::chrono::seconds(2);
+  /**
+   * Time without contact after which a learner is removed. Longer than a restart takes: a learner
+   * that returns later has to join again.
+   */
+  base::Duration forget_after = std::chrono::seconds(10);
   /** Address of a member's host, for host names that also identify the disk. */
   std::function<std::string(const std::string& host)> address_of = [](const std::string& host) {
     return host;
--- a/tests/control_member/member_test.cc
+++ b/tests/control_member/member_test.cc
@@ -415,6 +415,32 @@
   ReplaceUntilAcknowledged(world, seconds(3));
 }
 
+// Guards against a group whose places are all taken by spares that are gone for good, and which
+// then admits no host that lost its disk.
+TEST(MemberTest, SparesThatAreGoneLeaveRoomForHostsThatLostTheirDisks) {
+  World world(13);
+  FormGroup(world);
+  ReplaceUntilAcknowledged(world, seconds(3));
+  const auto member_count = [&] {
+    return world.Leader().empty()
+               ? 0
+               : world.member(world.Leader()).status().replica_host.membership.members().size();
+  };
+  for (std::size_t number = 6; number < 6 + consensus::kMaxMembers; ++number) {
+    const std::string spare = "c" + std::to_string(number);
+    world.Start(spare, false);
+    world.Advance(seconds(1));
+    world.Kill(spare);
+  }
+  world.WipeDisk("c4");
+  world.Start("c4", false);
+  EXPECT_TRUE(world.AdvanceUntil(seconds(15), [&] { return world.HasAllVoters(); }))
+      << member_count() << " members";
+  // A spare that was forgotten and returns is admitted again.
+  world.Start("c6", false);
+  EXPECT_TRUE(world.AdvanceUntil(seconds(4), [&] { return member_count() == 6; }));
+}
+
 // Guards against a declaration of many routes that is answered as unavailable for good, because its
 // text does not fit an entry of the log.
 TEST(MemberTest, ADeclarationOfManyRoutesIsAccepted) {
