Tests: Lose each change of a folder on its own at a power loss

The pages of the platform say that each file that was created, renamed or removed without a sync of its folder may be kept or lost independently. The simulated disk kept a prefix of the changes of a folder, which is milder. Now each change survives or not on its own, and a rename is one change.

--- a/tests/storage/faulty_file_system.cc
+++ b/tests/storage/faulty_file_system.cc
@@ -6,11 +6,11 @@
 
 void FaultyFileSystem::LosePower(PowerLoss loss) {
   for (auto& [folder, changes] : pending_entries_) {
-    // A journal keeps the order of the changes in one folder, so a prefix of them survives.
-    const std::size_t kept =
-        loss == PowerLoss::kTearUnsynced ? base::DrawBelow(random_, changes.size() + 1) : 0;
-    for (std::size_t i = 0; i < kept; ++i) {
-      PersistEntry(changes[i]);
+    // Each change of a folder survives or not, independently of the others.
+    for (const EntryChange& change : changes) {
+      if (loss == PowerLoss::kTearUnsynced && DrawBool()) {
+        PersistEntry(change);
+      }
     }
   }
   pending_entries_.clear();
@@ -84,8 +84,9 @@
     throw FileError("rename", from, EIO);
   }
   const auto inode = entries_.at(from);
-  SetEntry(to, inode);
-  SetEntry(from, nullptr);
+  entries_[to] = inode;
+  entries_.erase(from);
+  pending_entries_[FolderOf(to)].push_back({to, inode, from});
 }
 
 void FaultyFileSystem::SyncFolder(const std::string& folder) {
--- a/tests/storage/faulty_file_system.h
+++ b/tests/storage/faulty_file_system.h
@@ -59,6 +59,7 @@
   struct EntryChange {
     std::string path;
     std::shared_ptr<Inode> inode;  // Null for a removal.
+    std::string renamed_from;      // Empty unless the change is a rename.
   };
 
   static void Apply(std::string& content, const Change& change) {
@@ -83,9 +84,12 @@
     } else {
       entries_.erase(path);
     }
-    pending_entries_[FolderOf(path)].push_back({path, std::move(inode)});
+    pending_entries_[FolderOf(path)].push_back({path, std::move(inode), ""});
   }
   void PersistEntry(const EntryChange& change) {
+    if (!change.renamed_from.empty()) {
+      durable_entries_.erase(change.renamed_from);
+    }
     if (change.inode) {
       durable_entries_[change.path] = change.inode;
     } else {
