ControlMember: Let a joiner start again after its disk refused a write

Callers: a control host that is admitted while its disk refuses writes takes no part for good, and nobody notices: it counts itself as started and asks no more to join. Two such hosts and two lost disks leave no quorum.

Cause: the member counted as started before its replica had started; an error of the storage in between left it in that state. Class: a state that is entered before the step that may fail.

Change: the order of the two steps. The joiner goes on asking, gets the same replica id and starts once the disk takes its state.

--- a/libraries/control_member/member.cc
+++ b/libraries/control_member/member.cc
@@ -174,8 +174,8 @@
 }
 
 void Member::StartReplica(const replication::StartPlan& plan, const char* mode) {
-  is_replica_started_ = true;
   replica_host_->Start(plan);
+  is_replica_started_ = true;
   base::Log(base::LogLevel::kInfo, "control_member_started",
             {{"mode", mode},
              {"replica", static_cast<Json::UInt64>(replica_host_->status().replica)},
--- a/tests/control_member/member_test.cc
+++ b/tests/control_member/member_test.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstdlib>
 #include <limits>
+#include <map>
 
 #include "tests/control_member/world.h"
 
@@ -415,6 +416,22 @@
   ReplaceUntilAcknowledged(world, seconds(3));
 }
 
+// Guards against a joiner that never takes part because its disk refused a write when it was
+// admitted.
+TEST(MemberTest, AJoinerWhoseDiskRefusesAWriteJoinsLater) {
+  for (std::uint64_t operation = 1; operation <= 24; ++operation) {
+    SCOPED_TRACE(operation);
+    World world(operation);
+    FormGroup(world);
+    ReplaceUntilAcknowledged(world, seconds(3));
+    world.WipeDisk("c4");
+    world.Advance(seconds(1));
+    world.Start("c4", false);
+    world.FailDisk("c4", operation);
+    EXPECT_TRUE(world.AdvanceUntil(seconds(10), [&] { return world.HasAllVoters(); }));
+  }
+}
+
 // Guards against a group whose places are all taken by spares that are gone for good, and which
 // then admits no host that lost its disk.
 TEST(MemberTest, SparesThatAreGoneLeaveRoomForHostsThatLostTheirDisks) {
--- a/tests/control_member/world.cc
+++ b/tests/control_member/world.cc
@@ -78,6 +78,10 @@
   hosts_.at(address).disk.reset();
 }
 
+void World::FailDisk(const std::string& address, std::uint64_t operation) {
+  hosts_.at(address).disk->FailAt(operation);
+}
+
 void World::SetPartitioned(const std::string& address, bool is_partitioned) {
   hosts_.at(address).is_partitioned = is_partitioned;
 }
--- a/tests/control_member/world.h
+++ b/tests/control_member/world.h
@@ -31,6 +31,8 @@
   void Kill(const std::string& address, std::optional<storage::PowerLoss> loss = {});
   /** Kills a host's process and replaces its disk by an empty one. */
   void WipeDisk(const std::string& address);
+  /** Makes the disk of a host refuse one modifying operation that lies ahead. */
+  void FailDisk(const std::string& address, std::uint64_t operation);
   /** Partitions a host from all others, or ends its partition. */
   void SetPartitioned(const std::string& address, bool is_partitioned);
 
