ControlMember: Keep the replica of a host whose disk refuses writes

Cause: a host whose storage has failed has no replica until its storage opens again, and its status said replica 0. Each second it asked the others whether that replica is still a member; the leader found that 0 is no member and below the next id, and answered that it was removed; the host compared this 0 with its own 0, discarded its stored state and joined as an empty host, while the group still counted its disk. Class: a value that stands for "none" is compared as if it were an id.

Change: a replica host keeps its id while its storage has failed; nobody knows of a removal of "no replica", and no host takes a notice of it. control_waiting names a failed storage.

Looked for elsewhere: join answers carry an id that was assigned by a committed change; stop notices of a failed host named 0 and now name the host.

--- a/libraries/control_member/member.cc
+++ b/libraries/control_member/member.cc
@@ -244,9 +244,9 @@
 bool Member::KnowsRemovalOf(consensus::ReplicaId replica,
                             const replication::HostStatus& status) const {
   // A removal that is not committed may be undone, and the voter would have discarded its disk.
-  return is_replica_started_ && status.soft_state.role == consensus::Role::kLeader &&
-         !status.has_pending_membership && !status.membership.Contains(replica) &&
-         replica < status.membership.next_id();
+  return is_replica_started_ && replica != consensus::kNoReplica &&
+         status.soft_state.role == consensus::Role::kLeader && !status.has_pending_membership &&
+         !status.membership.Contains(replica) && replica < status.membership.next_id();
 }
 
 void Member::LogWait() const {
@@ -255,6 +255,7 @@
   }
   const replication::HostStatus status = replica_host_->status();
   const bool has_leader = status.soft_state.leader != consensus::kNoReplica;
+  const bool has_failed_storage = status.state == replication::HostState::kFailed;
   Json::Value silent(Json::arrayValue);
   for (const auto& [replica, member] : status.membership.members()) {
     const auto heard = heard_at_.find(replica);
@@ -270,6 +271,7 @@
   }
   base::Log(base::LogLevel::kInfo, "control_waiting",
             {{"for", !is_replica_started_ ? "admission"
+                     : has_failed_storage ? "storage"
                      : has_leader         ? "entries"
                                           : "leader"},
              {"voters", static_cast<Json::UInt64>(status.membership.voter_count())},
@@ -321,9 +323,9 @@
 // on disk; the new replica stores its state under the next generation.
 void Member::HandleRemovalNotice(const RemovalNotice& removal) {
   const replication::HostStatus status = replica_host_->status();
-  const bool is_applicable = is_replica_started_ && !restart_timer_ &&
-                             removal.replica == status.replica &&
-                             status.soft_state.leader == consensus::kNoReplica;
+  const bool is_applicable =
+      is_replica_started_ && !restart_timer_ && removal.replica != consensus::kNoReplica &&
+      removal.replica == status.replica && status.soft_state.leader == consensus::kNoReplica;
   if (!is_applicable) {
     return;
   }
--- a/libraries/replication/persist_loop.cc
+++ b/libraries/replication/persist_loop.cc
@@ -282,6 +282,7 @@
   }
   const std::scoped_lock lock(mutex_);
   replica_.emplace(options_.replica, dependencies_.random, std::move(state), dependencies_.clock());
+  id_ = replica_->id();
   state_ = HostState::kRunning;
 }
 
--- a/libraries/replication/replica_host.cc
+++ b/libraries/replication/replica_host.cc
@@ -169,8 +169,8 @@
   HostStatus status = counters_;
   status.state = state_;
   status.applied = applied_;
+  status.replica = id_;
   if (replica_) {
-    status.replica = replica_->id();
     status.soft_state = {replica_->role(), replica_->leader(), replica_->term()};
     status.commit = replica_->commit();
     status.applied_term = replica_->TermAt(applied_).value_or(0);
--- a/libraries/replication/replica_host.h
+++ b/libraries/replication/replica_host.h
@@ -142,6 +142,8 @@
   std::map<std::uint64_t, ReadCallback> reads_;
   std::multimap<consensus::Index, ReadCallback> confirmed_reads_;
   consensus::Index applied_ = 0;
+  // Kept while the storage has failed and there is no replica.
+  consensus::ReplicaId id_ = consensus::kNoReplica;
   // Time of the last contact by member, while this replica is leader.
   std::map<consensus::ReplicaId, base::TimePoint> last_contact_;
   // Time at which members announced that they stop. A member that is still in the group after
--- a/tests/control_member/member_test.cc
+++ b/tests/control_member/member_test.cc
@@ -416,6 +416,45 @@
   ReplaceUntilAcknowledged(world, seconds(3));
 }
 
+// Guards against a voter that discards what it has stored because its disk refused a write, so that
+// the group has no majority when two other disks are lost.
+TEST(MemberTest, AVoterWhoseDiskRefusesAWriteKeepsItsReplica) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    SCOPED_TRACE(seed);
+    World world(seed);
+    FormGroup(world);
+    ReplaceUntilAcknowledged(world, seconds(3));
+    std::map<std::string, consensus::ReplicaId> replicas;
+    for (const std::string& host : kHosts) {
+      if (host != world.Leader() && replicas.size() < 2) {
+        replicas[host] = world.member(host).status().replica_host.replica;
+        world.FailDisk(host, 1);
+      }
+    }
+    for (int i = 0; i < 40; ++i) {
+      world.ReplaceDeclaration();
+      world.Advance(milliseconds(100));
+    }
+    for (const auto& [host, replica] : replicas) {
+      EXPECT_GT(world.member(host).status().replica_host.storage_failures, 0U) << host;
+      EXPECT_EQ(world.member(host).status().replica_host.replica, replica) << host;
+    }
+    for (const std::string& host : kHosts) {
+      if (!replicas.contains(host) && host != world.Leader()) {
+        world.WipeDisk(host);
+      }
+    }
+    for (const std::string& host : kHosts) {
+      world.Kill(host, PowerLoss::kLoseUnsynced);
+    }
+    for (const std::string& host : kHosts) {
+      world.Start(host, false);
+    }
+    ASSERT_TRUE(world.AdvanceUntil(seconds(10), [&] { return world.HasAllVoters(); }));
+    ReplaceUntilAcknowledged(world, seconds(5));
+  }
+}
+
 // Guards against a joiner that never takes part because its disk refused a write when it was
 // admitted.
 TEST(MemberTest, AJoinerWhoseDiskRefusesAWriteJoinsLater) {
