--- /dev/null
+++ b/tests/platform/operators.cc
@@ -0,0 +1,311 @@
+#include "tests/platform/operators.h"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "platform/configuration_codec.h"
+
+namespace borageloft::platform {
+
+namespace {
+
+// Bounds that the platform states.
+constexpr std::chrono::milliseconds kInForceWithin{2000};
+constexpr std::chrono::milliseconds kStabilityWindow{3000};
+constexpr std::chrono::milliseconds kMaximumStretch{5000};
+// An operator gives up on an order without a clear answer after so many attempts.
+constexpr int kMaximumAttempts = 12;
+
+http_stream::RequestMessage MakeCall(const std::string& call, declaration::Version base,
+                                     std::string body) {
+  http_stream::RequestMessage message;
+  message.method = "POST";
+  message.target = "/borageloft/rpc?call=" + call;
+  message.fields.push_back({"If-Match", fmt::format("r{}", base)});
+  message.body = std::move(body);
+  return message;
+}
+
+// A clear refusal ends an order; every other answer is followed by another attempt.
+bool IsRefusal(unsigned status) {
+  return status >= 400 && status < 500 && status != 408 && status != 429;
+}
+
+}  // namespace
+
+Operators::Operators(Deployment& deployment) : deployment_(deployment) {
+  for (int i = 0; i < 4; ++i) {
+    routes_.push_back({fmt::format("h{}.example", i), fmt::format("r{}", i), 1000, 50});
+  }
+}
+
+std::string Operators::Text(declaration::Version version, const std::vector<Route>& routes) const {
+  std::string text = fmt::format(
+      R"({{"version":"r{}","services":[{{"name":"parts","health_path":"/health"}},{{"name":"other"}}],)"
+      R"("limits":{{"max_header_bytes":16384,"idle_timeout_ms":15000}},"hosts":[)",
+      version);
+  const char* separator = "";
+  for (const Route& route : routes) {
+    text += fmt::format(
+        R"({}{{"host":"{}","paths":[{{"name":"{}","path_prefix":"/x/","kind":"safe","timeout_ms":{},)"
+        R"("split":[{{"service":"parts","weight":{}}},{{"service":"other","weight":{}}}],"attempts":2}}]}})",
+        separator, route.host, route.name, route.timeout_ms, route.first_weight,
+        100 - route.first_weight);
+    separator = ",";
+  }
+  return text + "]}";
+}
+
+std::vector<Operators::Route> Operators::ChangedRoutes() {
+  Route& route = routes_[base::DrawBelow(deployment_.random, routes_.size())];
+  route.timeout_ms = 500 + static_cast<int>(base::DrawBelow(deployment_.random, 1000));
+  route.first_weight = static_cast<int>(base::DrawBelow(deployment_.random, 100));
+  for (; growth_ > 0; --growth_) {
+    routes_.push_back(
+        {fmt::format("h{}.example", routes_.size()), fmt::format("r{}", routes_.size()), 900, 10});
+  }
+  return routes_;
+}
+
+std::string Operators::PickHost() const {
+  const std::vector<std::string> listed = deployment_.ListedControlHosts();
+  return listed[base::DrawBelow(deployment_.random, listed.size())];
+}
+
+declaration::Version Operators::newest() const {
+  return acknowledged_.empty() ? 0 : acknowledged_.rbegin()->first;
+}
+
+bool Operators::HasOpenOrders() const {
+  return std::any_of(orders_.begin(), orders_.end(), [&](const Order& order) {
+    const bool may_take_effect_later = !order.is_acknowledged && !order.is_refused &&
+                                       order.verdict == Verdict::kValid && order.version > newest();
+    return order.is_open || may_take_effect_later;
+  });
+}
+
+std::size_t Operators::Add(Order order) {
+  order.may_be_refused |= HasOpenOrders();
+  for (Order& other : orders_) {
+    other.may_be_refused |= other.is_open;
+  }
+  orders_.push_back(std::move(order));
+  return orders_.size() - 1;
+}
+
+void Operators::Found() {
+  last_version_ = 7;
+  Send(Add({0, last_version_, Text(last_version_, routes_), Verdict::kValid, "first"}), 0);
+}
+
+void Operators::Change() {
+  last_version_ += 1 + base::DrawBelow(deployment_.random, 4);
+  Send(Add({newest(), last_version_, Text(last_version_, ChangedRoutes()), Verdict::kValid,
+            "change"}),
+       0);
+}
+
+void Operators::Race() {
+  last_version_ += 2;
+  const declaration::Version base = newest();
+  const bool has_same_number = base::DrawBelow(deployment_.random, 2) == 0;
+  const declaration::Version second = has_same_number ? last_version_ : last_version_ - 1;
+  const std::size_t one =
+      Add({base, last_version_, Text(last_version_, ChangedRoutes()), Verdict::kValid, "race"});
+  const std::size_t other =
+      Add({base, second, Text(second, ChangedRoutes()), Verdict::kValid, "race"});
+  Send(one, 0);
+  Send(other, 0);
+}
+
+void Operators::Resend() {
+  std::vector<std::size_t> acknowledged;
+  for (std::size_t i = 0; i < orders_.size(); ++i) {
+    if (orders_[i].is_acknowledged) {
+      acknowledged.push_back(i);
+    }
+  }
+  if (!acknowledged.empty()) {
+    Send(acknowledged[base::DrawBelow(deployment_.random, acknowledged.size())], 0);
+  }
+}
+
+void Operators::SendInvalid() {
+  const declaration::Version base = newest();
+  declaration::Version version = last_version_ + 1;
+  std::vector<Route> routes = routes_;
+  std::string kind;
+  std::string from;
+  std::string to;
+  declaration::Version order_base = base;
+  switch (base::DrawBelow(deployment_.random, 10)) {
+    case 0:
+      kind = "unknown service";
+      from = R"("service":"other")";
+      to = R"("service":"nobody")";
+      break;
+    case 1:
+      kind = "weights of 0";
+      routes.front().first_weight = 0;
+      from = R"("service":"other","weight":100)";
+      to = R"("service":"other","weight":0)";
+      break;
+    case 2:
+      kind = "weight below 0";
+      routes.front().first_weight = 100;
+      from = R"("service":"other","weight":0)";
+      to = R"("service":"other","weight":-1)";
+      break;
+    case 3:
+      kind = "empty host";
+      from = R"("host":"h0.example")";
+      to = R"("host":"")";
+      break;
+    case 4:
+      kind = "empty host without routes";
+      from = R"("hosts":[)";
+      to = R"("hosts":[{"host":"","paths":[]},)";
+      break;
+    case 5:
+      kind = "same version";
+      version = base;
+      break;
+    case 6:
+      kind = "old version";
+      version = base - 1;
+      break;
+    case 7:
+      kind = "stale base";
+      order_base = base - 1;
+      break;
+    case 8:
+      kind = "cut short";
+      break;
+    default:
+      kind = "trailing bytes";
+      break;
+  }
+  // A changed timeout, so that the text is not that of an order that was accepted.
+  routes.back().timeout_ms = 2000 + static_cast<int>(base::DrawBelow(deployment_.random, 1000));
+  std::string text = Text(version, routes);
+  if (!from.empty()) {
+    const std::size_t position = text.find(from);
+    ASSERT_NE(position, std::string::npos) << kind;
+    text.replace(position, from.size(), to);
+  } else if (kind == "cut short") {
+    text.resize(base::DrawBelow(deployment_.random, text.size()));
+  } else if (kind == "trailing bytes") {
+    text += "]}";
+  }
+  Send(Add({order_base, version, text, Verdict::kInvalid, kind}), 0);
+}
+
+void Operators::Send(std::size_t index, int attempt) {
+  const Order& order = orders_[index];
+  deployment_.Call(PickHost(), MakeCall("config.put", order.base, order.text),
+                   [this, index, attempt](const http_stream::ResponseMessage& response) {
+                     Judge(index, response, attempt);
+                   });
+}
+
+void Operators::Judge(std::size_t index, const http_stream::ResponseMessage& response,
+                      int attempt) {
+  Order& order = orders_[index];
+  const std::string what = fmt::format("{} r{} on r{}: {} {}", order.kind, order.version,
+                                       order.base, response.status, response.body);
+  if (response.status == 200) {
+    EXPECT_EQ(order.verdict, Verdict::kValid) << "an invalid order was acknowledged: " << what;
+    EXPECT_FALSE(order.is_refused) << "acknowledged after it was refused: " << what;
+    for (const Order& other : orders_) {
+      const bool is_rival = &other != &order && other.is_acknowledged && other.base == order.base;
+      EXPECT_FALSE(is_rival) << "two orders on one version were acknowledged: " << what;
+    }
+    order.is_open = false;
+    if (!std::exchange(order.is_acknowledged, true)) {
+      acknowledged_.emplace(order.version, deployment_.now());
+    }
+    return;
+  }
+  if (IsRefusal(response.status)) {
+    EXPECT_FALSE(order.is_acknowledged) << "refused after it was acknowledged: " << what;
+    if (order.verdict == Verdict::kValid) {
+      EXPECT_TRUE(order.may_be_refused && response.status == 412)
+          << "a valid order on the newest version was refused: " << what;
+    }
+    order.is_open = false;
+    order.is_refused = true;
+    ++refused_;
+    return;
+  }
+  if (attempt + 1 >= kMaximumAttempts && order.base != 0) {
+    order.is_open = false;
+    return;
+  }
+  const int backoff = std::min(100 << std::min(attempt, 5), 2000);
+  deployment_.Schedule(std::chrono::milliseconds(backoff),
+                       [this, index, attempt] { Send(index, attempt + 1); });
+}
+
+bool Operators::MayBeInForce(declaration::Version version) const {
+  return version == 0 || std::any_of(orders_.begin(), orders_.end(), [&](const Order& order) {
+           return order.version == version && order.verdict == Verdict::kValid && !order.is_refused;
+         });
+}
+
+void Operators::Read() {
+  const base::TimePoint begun = deployment_.now();
+  deployment_.Call(PickHost(), MakeCall("config.get", 0, ""),
+                   [this, begun](const http_stream::ResponseMessage& response) {
+                     if (response.status == 200) {
+                       JudgeRead(response.body, begun);
+                     }
+                   });
+}
+
+void Operators::JudgeRead(const std::string& body, base::TimePoint begun) {
+  ++reads_;
+  const declaration::Version version = DecodeConfiguration(body).version;
+  const bool was_sent = std::any_of(orders_.begin(), orders_.end(), [&](const Order& order) {
+    return order.version == version && order.text == body && order.verdict == Verdict::kValid &&
+           !order.is_refused;
+  });
+  EXPECT_TRUE(was_sent) << "read what was not sent, or was refused, as version " << version;
+  for (const auto& [acknowledged, at] : acknowledged_) {
+    if (begun - at >= kInForceWithin) {
+      EXPECT_GE(version, acknowledged) << "an older version was read";
+    }
+  }
+  if (version >= newest()) {
+    last_read_begun_ = std::max(last_read_begun_, begun);
+  }
+}
+
+void Operators::CheckNodes() {
+  const base::TimePoint now = deployment_.now();
+  for (const std::string& node : deployment_.nodes()) {
+    if (!deployment_.IsRunning(node)) {
+      seen_.erase(node);
+      continue;
+    }
+    const declaration::Version version = deployment_.ViewOf(node).version;
+    EXPECT_GE(version, seen_[node]) << node << " went back to an older version";
+    seen_[node] = version;
+    EXPECT_TRUE(MayBeInForce(version)) << node << " uses version " << version;
+    // In the sense of the platform, a machine that was not disturbed is in touch again after the
+    // stability window, and an unstable core stretches the bound.
+    const base::TimePoint disturbed = std::max(disturbed_until_, node_disturbed_until_[node]);
+    for (const auto& [acknowledged, at] : acknowledged_) {
+      if (now - disturbed > kStabilityWindow + kInForceWithin &&
+          now - at > kInForceWithin + kMaximumStretch) {
+        EXPECT_GE(version, acknowledged) << node << " has not put an acknowledged version in force";
+      } else if (now - disturbed > kStabilityWindow + (now - at) && now - at > kInForceWithin) {
+        EXPECT_GE(version, acknowledged) << node << " is late with an acknowledged version";
+      }
+    }
+  }
+}
+
+}  // namespace borageloft::platform
