Mesh, Tests: Pass responders by reference and list invalid orders in a table

The linter refused a responder that was copied for each call. The seeded test named the place of a fault and its replacement in ten branches; the five that replace text are now rows.

--- a/libraries/mesh/control_service.cc
+++ b/libraries/mesh/control_service.cc
@@ -209,12 +209,13 @@
   }
 }
 
-void ControlService::HandleCall(const http_stream::RequestMessage& message, CallResponder respond) {
+void ControlService::HandleCall(const http_stream::RequestMessage& message,
+                                const CallResponder& respond) {
   const NodeCall call = dialect_.decode_call(message);
   if (const auto* replace = std::get_if<ReplaceCall>(&call)) {
-    HandleReplace(*replace, message.target, std::move(respond));
+    HandleReplace(*replace, message.target, respond);
   } else if (std::holds_alternative<ReadCall>(call)) {
-    HandleRead(message.target, std::move(respond));
+    HandleRead(message.target, respond);
   } else if (std::holds_alternative<ReadinessCall>(call)) {
     respond(MakeResponse(member_.IsCurrent() ? kOk : kServiceUnavailable, ""));
   } else if (const auto* refused = std::get_if<RefusedCall>(&call)) {
@@ -228,7 +229,7 @@
 }
 
 void ControlService::HandleReplace(const ReplaceCall& call, const std::string& target,
-                                   CallResponder respond) {
+                                   const CallResponder& respond) {
   if (member_.status().replica_host.soft_state.role != consensus::Role::kLeader) {
     Redirect(target, respond);
     return;
@@ -286,19 +287,18 @@
   return declaration::FindChanges(before, next, kMaximumLoggedChanges);
 }
 
-void ControlService::HandleRead(const std::string& target, CallResponder respond) {
+void ControlService::HandleRead(const std::string& target, const CallResponder& respond) {
   if (member_.status().replica_host.soft_state.role != consensus::Role::kLeader) {
     Redirect(target, respond);
     return;
   }
-  member_.ReadNewest(
-      [this, respond = std::move(respond)](const declaration::DeclarationRegister* newest) {
-        if (newest == nullptr || newest->version() == 0) {
-          respond(MakeResponse(kServiceUnavailable, "the newest declaration is not known"));
-          return;
-        }
-        respond(MakeResponse(kOk, newest->text()));
-      });
+  member_.ReadNewest([this, respond](const declaration::DeclarationRegister* newest) {
+    if (newest == nullptr || newest->version() == 0) {
+      respond(MakeResponse(kServiceUnavailable, "the newest declaration is not known"));
+      return;
+    }
+    respond(MakeResponse(kOk, newest->text()));
+  });
 }
 
 void ControlService::Redirect(const std::string& target, const CallResponder& respond) const {
--- a/libraries/mesh/control_service.h
+++ b/libraries/mesh/control_service.h
@@ -52,7 +52,7 @@
   void HandleControl(const std::string& from, wire::Channel channel, const std::string& payload);
 
   /** Handles a call of an operator or of the platform. */
-  void HandleCall(const http_stream::RequestMessage& message, CallResponder respond);
+  void HandleCall(const http_stream::RequestMessage& message, const CallResponder& respond);
 
   /** Applies the seeds of reloaded settings; other changes need a restart. */
   void HandleSettings(const MeshSettings& settings);
@@ -67,8 +67,9 @@
   void HandleSync(const std::string& from, const directory::SyncRequest& request);
   void HandleDeparture(const directory::DepartureRequest& request);
   void SendDepartures(const std::string& node, std::uint64_t epoch);
-  void HandleReplace(const ReplaceCall& call, const std::string& target, CallResponder respond);
-  void HandleRead(const std::string& target, CallResponder respond);
+  void HandleReplace(const ReplaceCall& call, const std::string& target,
+                     const CallResponder& respond);
+  void HandleRead(const std::string& target, const CallResponder& respond);
   void Redirect(const std::string& target, const CallResponder& respond) const;
   http_stream::ResponseMessage MakeResponse(unsigned status, std::string body) const;
   declaration::DeclarationChanges ChangesOf(const declaration::Declaration& next) const;
--- a/tests/platform/operators.cc
+++ b/tests/platform/operators.cc
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include "platform/configuration_codec.h"
@@ -134,73 +135,69 @@
 }
 
 void Operators::SendInvalid() {
-  const declaration::Version base = newest();
-  declaration::Version version = last_version_ + 1;
+  // A fault in the text of an order: what stands there, and what is sent in its place.
+  struct TextFault {
+    const char* kind;
+    int first_weight;  // Of the first route, so that the weights of `from` stand in the text.
+    const char* from;
+    const char* to;
+  };
+  static constexpr std::array<TextFault, 5> kTextFaults = {{
+      {"unknown service", 50, R"("service":"other")", R"("service":"nobody")"},
+      {"weights of 0", 0, R"("service":"other","weight":100)", R"("service":"other","weight":0)"},
+      {"weight below 0", 100, R"("service":"other","weight":0)",
+       R"("service":"other","weight":-1)"},
+      {"empty host", 50, R"("host":"h0.example")", R"("host":"")"},
+      {"empty host without routes", 50, R"("hosts":[)", R"("hosts":[{"host":"","paths":[]},)"},
+  }};
+  constexpr std::uint64_t kOtherFaults = 5;
   std::vector<Route> routes = routes_;
-  std::string kind;
-  std::string from;
-  std::string to;
-  declaration::Version order_base = base;
-  switch (base::DrawBelow(deployment_.random, 10)) {
+  // A changed timeout, so that the text is not that of an order that was accepted.
+  routes.back().timeout_ms = 2000 + static_cast<int>(base::DrawBelow(deployment_.random, 1000));
+  Order order;
+  order.base = newest();
+  order.version = last_version_ + 1;
+  order.verdict = Verdict::kInvalid;
+  const std::uint64_t drawn =
+      base::DrawBelow(deployment_.random, kTextFaults.size() + kOtherFaults);
+  if (drawn < kTextFaults.size()) {
+    const TextFault& fault = kTextFaults[drawn];
+    order.kind = fault.kind;
+    routes.front().first_weight = fault.first_weight;
+    order.text = Text(order.version, routes);
+    const std::size_t position = order.text.find(fault.from);
+    ASSERT_NE(position, std::string::npos) << fault.kind;
+    order.text.replace(position, std::string(fault.from).size(), fault.to);
+    Send(Add(std::move(order)), 0);
+    return;
+  }
+  switch (drawn - kTextFaults.size()) {
     case 0:
-      kind = "unknown service";
-      from = R"("service":"other")";
-      to = R"("service":"nobody")";
+      order.kind = "same version";
+      order.version = newest();
       break;
     case 1:
-      kind = "weights of 0";
-      routes.front().first_weight = 0;
-      from = R"("service":"other","weight":100)";
-      to = R"("service":"other","weight":0)";
+      order.kind = "old version";
+      order.version = newest() - 1;
       break;
     case 2:
-      kind = "weight below 0";
-      routes.front().first_weight = 100;
-      from = R"("service":"other","weight":0)";
-      to = R"("service":"other","weight":-1)";
+      order.kind = "stale base";
+      order.base = newest() - 1;
       break;
     case 3:
-      kind = "empty host";
-      from = R"("host":"h0.example")";
-      to = R"("host":"")";
-      break;
-    case 4:
-      kind = "empty host without routes";
-      from = R"("hosts":[)";
-      to = R"("hosts":[{"host":"","paths":[]},)";
-      break;
-    case 5:
-      kind = "same version";
-      version = base;
-      break;
-    case 6:
-      kind = "old version";
-      version = base - 1;
-      break;
-    case 7:
-      kind = "stale base";
-      order_base = base - 1;
-      break;
-    case 8:
-      kind = "cut short";
+      order.kind = "cut short";
       break;
     default:
-      kind = "trailing bytes";
+      order.kind = "trailing bytes";
       break;
   }
-  // A changed timeout, so that the text is not that of an order that was accepted.
-  routes.back().timeout_ms = 2000 + static_cast<int>(base::DrawBelow(deployment_.random, 1000));
-  std::string text = Text(version, routes);
-  if (!from.empty()) {
-    const std::size_t position = text.find(from);
-    ASSERT_NE(position, std::string::npos) << kind;
-    text.replace(position, from.size(), to);
-  } else if (kind == "cut short") {
-    text.resize(base::DrawBelow(deployment_.random, text.size()));
-  } else if (kind == "trailing bytes") {
-    text += "]}";
+  order.text = Text(order.version, routes);
+  if (order.kind == "cut short") {
+    order.text.resize(base::DrawBelow(deployment_.random, order.text.size()));
+  } else if (order.kind == "trailing bytes") {
+    order.text += "]}";
   }
-  Send(Add({order_base, version, text, Verdict::kInvalid, kind}), 0);
+  Send(Add(std::move(order)), 0);
 }
 
 void Operators::Send(std::size_t index, int attempt) {
