--- a/tests/platform/deployment.cc
+++ b/tests/platform/deployment.cc
@@ -6,7 +6,6 @@
 #include <algorithm>
 #include <cstdlib>
 
-#include "libraries/mesh/peer_address.h"
 #include "platform/platform_dialect.h"
 
 namespace borageloft::platform {
--- a/tests/platform/deployment.h
+++ b/tests/platform/deployment.h
@@ -11,8 +11,7 @@
 #include <string>
 #include <vector>
 
-#include "libraries/mesh/control_service.h"
-#include "libraries/mesh/node_presence.h"
+#include "libraries/mesh/mesh.h"
 #include "tests/storage/faulty_file_system.h"
 
 namespace borageloft::platform {
