Tests: Show that clients outside the limits exhaust the memory of a node

Clients that are not under our control sent many chunked bodies that stopped short of their end, bodies far over the limit, heads behind heads, and read long answers slowly; a process ran out of memory. The test starts a control host and two nodes on loopback and sends crowds of 40 connections of each kind in two waves, with held_megabytes 5. An eighth of the machine's memory is the default of that setting, so the processes must stay under 40 MiB; beside that it checks that they live, have at most 300 open descriptors and answer an ordinary request afterwards.

--- /dev/null
+++ b/tests/client_limits/crowd_client.h
@@ -0,0 +1,41 @@
+#ifndef BORAGELOFT_TESTS_CLIENT_LIMITS_CROWD_CLIENT_H_
+#define BORAGELOFT_TESTS_CLIENT_LIMITS_CROWD_CLIENT_H_
+
+#include <array>
+#include <asio.hpp>
+#include <cstddef>
+#include <memory>
+#include <string>
+
+namespace borageloft::client_limits {
+
+/** What one client of a crowd sends. */
+struct CrowdPlan {
+  std::string head;
+  std::string piece;       ///< Sent again and again after the head.
+  std::size_t pieces = 0;  ///< After these the client stops and keeps the connection open.
+  bool reads_answers = true;
+};
+
+/** A client that does not keep to the limits of a node. It never closes its connection itself. */
+class CrowdClient : public std::enable_shared_from_this<CrowdClient> {
+ public:
+  CrowdClient(asio::io_context& context, CrowdPlan plan);
+
+  void Start(const asio::ip::tcp::endpoint& target);
+  void Close();
+
+ private:
+  void Write(std::string bytes);
+  void Read();
+
+  CrowdPlan plan_;
+  asio::ip::tcp::socket socket_;
+  std::string output_;
+  std::size_t sent_pieces_ = 0;
+  std::array<char, 4096> input_{};
+};
+
+}  // namespace borageloft::client_limits
+
+#endif  // BORAGELOFT_TESTS_CLIENT_LIMITS_CROWD_CLIENT_H_
--- a/tests/soak/soak_process.h
+++ b/tests/soak/soak_process.h
@@ -22,6 +22,8 @@
   void Kill();
   /** @return Whether the process runs; notes its end otherwise. */
   bool IsRunning();
+  /** @return Process id, or 0 while it does not run. */
+  pid_t id() const { return pid_; }
   /** @return How often the process ended without having been told to. */
   int unexpected_ends() const { return unexpected_ends_; }
   /** The next end is expected, because the process was told to end. */
