Declaration, Platform: Declare client accounts with keys and quotas

A declaration may name client accounts, each with keys, a priority and a quota, and routes that need no key. Until now they were read past.

--- a/libraries/declaration/declaration.h
+++ b/libraries/declaration/declaration.h
@@ -5,6 +5,7 @@
  * declaration in force.
  */
 
+#include "libraries/declaration/client_account.h"
 #include "libraries/declaration/declaration_changes.h"
 #include "libraries/declaration/declaration_register.h"
 #include "libraries/declaration/route_table.h"
--- a/libraries/declaration/declaration_changes.cc
+++ b/libraries/declaration/declaration_changes.cc
@@ -25,12 +25,25 @@
       "{} timeout={}ms target={}ms priority={} attempts={} {}", route.name,
       Milliseconds(route.timeout), Milliseconds(route.target_latency), route.priority,
       route.attempts, route.repetition == Repetition::kIdempotent ? "idempotent" : "at_most_once");
+  text += route.is_public ? " public" : "";
   for (const WeightedService& target : route.targets) {
     text += fmt::format(" {}:{}", target.service, target.weight);
   }
   return text;
 }
 
+// Names the keys by a digest only: they are secrets.
+std::string Describe(const ClientAccount& account) {
+  std::uint64_t digest = 0;
+  for (const std::string& key : account.keys) {
+    digest += base::Hash(key);  // Independent of the order of the keys.
+  }
+  return fmt::format("priority={} rate={}/s burst={} keys={} digest={:08x}",
+                     account.priority ? std::to_string(*account.priority) : "route",
+                     account.quota.rate, account.quota.burst, account.keys.size(),
+                     static_cast<std::uint32_t>(digest));
+}
+
 // Texts of all parts of a declaration by a key that identifies the part.
 std::map<std::string, std::string> DescribeParts(const Declaration& declaration) {
   std::map<std::string, std::string> parts;
@@ -41,6 +54,9 @@
     parts["service " + service.name] =
         fmt::format("connections={} health={}", service.connections, service.health_path);
   }
+  for (const ClientAccount& account : declaration.accounts) {
+    parts["account " + account.name] = Describe(account);
+  }
   const CallerLimits& limits = declaration.limits;
   parts["limits"] = fmt::format("header={} body={} header_timeout={} idle_timeout={}",
                                 Describe(limits.header_bytes), Describe(limits.body_bytes),
--- a/libraries/declaration/routes.cc
+++ b/libraries/declaration/routes.cc
@@ -89,7 +89,10 @@
       return "route '" + route.name + "': another route has the same host and path prefix";
     }
   }
-  return FindLimitFault(declaration.limits);
+  if (auto fault = FindLimitFault(declaration.limits)) {
+    return fault;
+  }
+  return FindAccountFault(declaration.accounts);
 }
 
 }  // namespace borageloft::declaration
--- a/libraries/declaration/routes.h
+++ b/libraries/declaration/routes.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "libraries/base/base.h"
+#include "libraries/declaration/client_account.h"
 
 namespace borageloft::declaration {
 
@@ -41,6 +42,8 @@
   std::uint32_t priority = 0;
   /** Maximum number of upstreams that a request is sent to, at least 1. */
   std::uint32_t attempts = 1;
+  /** Whether callers need no key of a client account. */
+  bool is_public = false;
   /** Targets, of which at least one has a positive weight. */
   std::vector<WeightedService> targets;
 };
@@ -69,6 +72,8 @@
   std::vector<std::string> hosts;  ///< All hosts that are named, also those without routes.
   std::vector<Route> routes;
   CallerLimits limits;
+  /** Without any, callers need no key. */
+  std::vector<ClientAccount> accounts = {};
 };
 
 /** @return @p host in lower case, in which hosts are compared. */
