Quota: Keep the quotas of client accounts over all nodes

An account's callers may use any node, and a node alone cannot know what the others have passed on. The leader of the control group now owns a token bucket for each account; nodes take tokens before they pass a request on, and ahead for accounts in steady use.

Ruled out: shares of the rate by lease (most pairs of account and node have less than one request a second at 90 nodes), and an owner by hash of the account over the nodes (two owners while views differ).

--- a/libraries/directory/messages.cc
+++ b/libraries/directory/messages.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <exception>
+#include <limits>
 #include <msgpack.hpp>
 
 namespace borageloft::directory {
@@ -14,6 +15,7 @@
 constexpr std::size_t kMaxMessageBytes = std::size_t{16} << 20U;
 constexpr std::size_t kMaxElements = 100'000;
 constexpr std::size_t kMaxDepth = 6;
+constexpr std::uint32_t kUnknownAge = std::numeric_limits<std::uint32_t>::max();
 
 using Packer = msgpack::packer<msgpack::sbuffer>;
 
@@ -93,16 +95,19 @@
 }
 
 void PackBody(Packer& packer, const SyncRequest& request) {
-  packer.pack_array(5);
+  packer.pack_array(request.sent_at > 0 ? 6 : 5);
   Pack(packer, request.record);
   packer.pack(request.known_version);
   packer.pack(request.registry_epoch);
   packer.pack(request.registry_revision);
   packer.pack(static_cast<std::uint8_t>(request.kind));
+  if (request.sent_at > 0) {
+    packer.pack(request.sent_at);
+  }
 }
 
 void PackBody(Packer& packer, const SyncAnswer& answer) {
-  packer.pack_array(11);
+  packer.pack_array(answer.request_sent_at > 0 ? 13 : 11);
   packer.pack(answer.is_current);
   packer.pack(answer.version);
   packer.pack(answer.declaration);
@@ -117,6 +122,21 @@
   }
   packer.pack(answer.removed);
   packer.pack(answer.zone);
+  if (answer.request_sent_at > 0) {
+    packer.pack(answer.request_sent_at);
+    packer.pack(answer.age_ms.value_or(kUnknownAge));
+  }
+}
+
+void PackBody(Packer& packer, const FreshnessRequest& request) {
+  packer.pack_array(1);
+  packer.pack(request.sent_at);
+}
+
+void PackBody(Packer& packer, const FreshnessAnswer& answer) {
+  packer.pack_array(2);
+  packer.pack(answer.request_sent_at);
+  packer.pack(answer.version);
 }
 
 void Pack(Packer& packer, const Incarnation& incarnation) {
@@ -186,6 +206,9 @@
     }
     request.kind = static_cast<SyncKind>(kind);
   }
+  if (!reader.IsAtEnd()) {
+    reader.Take(request.sent_at);
+  }
   return request;
 }
 
@@ -211,6 +234,97 @@
   if (!reader.IsAtEnd()) {  // Control hosts of the earlier release state no zone.
     reader.Take(answer.zone);
   }
+  if (!reader.IsAtEnd()) {
+    reader.Take(answer.request_sent_at);
+    std::uint32_t age_ms = 0;
+    reader.Take(age_ms);
+    answer.age_ms = age_ms == kUnknownAge ? std::nullopt : std::optional(age_ms);
+  }
+  return answer;
+}
+
+void PackBody(Packer& packer, const QuotaRequest& request) {
+  packer.pack_array(6);
+  packer.pack(request.node);
+  packer.pack(request.epoch);
+  packer.pack(request.sequence);
+  packer.pack(request.is_forwarded);
+  packer.pack(request.nodes);
+  packer.pack_array(static_cast<std::uint32_t>(request.uses.size()));
+  for (const QuotaUse& use : request.uses) {
+    packer.pack_array(5);
+    packer.pack(use.account);
+    packer.pack(use.arrivals);
+    packer.pack(use.wanted);
+    packer.pack(use.ahead);
+    packer.pack(use.returned);
+  }
+}
+
+void PackBody(Packer& packer, const QuotaAnswer& answer) {
+  packer.pack_array(3);
+  packer.pack(answer.epoch);
+  packer.pack(answer.sequence);
+  packer.pack_array(static_cast<std::uint32_t>(answer.grants.size()));
+  for (const QuotaGrant& grant : answer.grants) {
+    packer.pack_array(4);
+    packer.pack(grant.account);
+    packer.pack(grant.granted);
+    packer.pack(grant.demand_milli);
+    packer.pack(grant.wait_ms);
+  }
+}
+
+QuotaRequest UnpackQuotaRequest(const msgpack::object& object) {
+  Reader reader(object);
+  QuotaRequest request;
+  reader.Take(request.node);
+  reader.Take(request.epoch);
+  reader.Take(request.sequence);
+  reader.Take(request.is_forwarded);
+  reader.Take(request.nodes);
+  Reader uses(reader.Take());
+  while (!uses.IsAtEnd()) {
+    Reader fields(uses.Take());
+    QuotaUse& use = request.uses.emplace_back();
+    fields.Take(use.account);
+    fields.Take(use.arrivals);
+    fields.Take(use.wanted);
+    fields.Take(use.ahead);
+    fields.Take(use.returned);
+  }
+  return request;
+}
+
+QuotaAnswer UnpackQuotaAnswer(const msgpack::object& object) {
+  Reader reader(object);
+  QuotaAnswer answer;
+  reader.Take(answer.epoch);
+  reader.Take(answer.sequence);
+  Reader grants(reader.Take());
+  while (!grants.IsAtEnd()) {
+    Reader fields(grants.Take());
+    QuotaGrant& grant = answer.grants.emplace_back();
+    fields.Take(grant.account);
+    fields.Take(grant.granted);
+    fields.Take(grant.demand_milli);
+    fields.Take(grant.wait_ms);
+  }
+  return answer;
+}
+
+FreshnessRequest UnpackFreshnessRequest(const msgpack::object& object) {
+  Reader reader(object);
+  FreshnessRequest request;
+  reader.Take(request.sent_at);
+  return request;
+}
+
+FreshnessAnswer UnpackFreshnessAnswer(const msgpack::object& object) {
+  Reader reader(object);
+  FreshnessAnswer answer;
+  reader.Take(answer.request_sent_at);
+  reader.Take(answer.version);
   return answer;
 }
 
@@ -248,6 +362,18 @@
     if (type == 3) {
       return UnpackDepartureAnswer(reader.Take());
     }
+    if (type == 4) {
+      return UnpackFreshnessRequest(reader.Take());
+    }
+    if (type == 5) {
+      return UnpackFreshnessAnswer(reader.Take());
+    }
+    if (type == 6) {
+      return UnpackQuotaRequest(reader.Take());
+    }
+    if (type == 7) {
+      return UnpackQuotaAnswer(reader.Take());
+    }
     throw DirectoryError(fmt::format("unknown message type {}", type));
   } catch (const DirectoryError&) {
     throw;
--- a/libraries/directory/messages.h
+++ b/libraries/directory/messages.h
@@ -2,6 +2,7 @@
 #define BORAGELOFT_DIRECTORY_MESSAGES_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -80,6 +81,9 @@
   std::uint64_t registry_epoch = 0;  ///< Epoch of the registry that `registry_revision` belongs to.
   std::uint64_t registry_revision = 0;
   SyncKind kind = SyncKind::kRecords;
+  /** When the node sent the request, in nanoseconds of a clock of its own; 0 if it does not need to
+   * know how old the answer's knowledge is. */
+  std::uint64_t sent_at = 0;
 };
 
 /** Answer of a control host, also sent to other control hosts when the records change. */
@@ -94,8 +98,12 @@
   std::uint64_t base_revision = 0;   ///< Base of the changes; 0 if the whole registry follows.
   std::uint64_t registry_revision = 0;
   std::vector<InstanceRecord> records;
-  std::vector<std::string> removed;  ///< Nodes whose records were removed.
-  std::string zone;                  ///< Of the control host.
+  std::vector<std::string> removed;   ///< Nodes whose records were removed.
+  std::string zone;                   ///< Of the control host.
+  std::uint64_t request_sent_at = 0;  ///< Of the request, as it states it.
+  /** Upper bound of the time since the control host knew of every declaration in force, in
+   * milliseconds; nothing if it has none. Follows only if the request states when it was sent. */
+  std::optional<std::uint32_t> age_ms = std::nullopt;
 };
 
 /**
@@ -115,8 +123,54 @@
   std::vector<Incarnation> departed;
 };
 
+/** Of a control host: asks the leader which declaration is in force now. */
+struct FreshnessRequest {
+  std::uint64_t sent_at = 0;  ///< In nanoseconds of a clock of the sender.
+};
+
+/** Answer of the leader, after a majority has confirmed that it still leads. */
+struct FreshnessAnswer {
+  std::uint64_t request_sent_at = 0;  ///< Of the request, as it states it.
+  std::uint64_t version = 0;          ///< Version in force after the request arrived.
+};
+
+/** What a node reports and asks for one client account with a quota. */
+struct QuotaUse {
+  std::string account;
+  std::uint32_t arrivals = 0;  ///< Requests since the last report.
+  std::uint32_t wanted = 0;    ///< Tokens for requests that wait for them.
+  std::uint32_t ahead = 0;     ///< Tokens for requests that are expected soon.
+  std::uint32_t returned = 0;  ///< Tokens granted earlier that were not used and have expired.
+};
+
+/** Of a node to the owner of the quotas. Control hosts forward it once, to the leader. */
+struct QuotaRequest {
+  std::string node;
+  std::uint64_t epoch = 0;  ///< Of the node's process.
+  std::uint64_t sequence = 0;
+  bool is_forwarded = false;
+  std::uint32_t nodes = 0;  ///< Number of nodes that the sender knows, itself included.
+  std::vector<QuotaUse> uses;
+};
+
+/** Tokens for one client account. */
+struct QuotaGrant {
+  std::string account;
+  std::uint32_t granted = 0;
+  std::uint32_t demand_milli = 0;  ///< Thousandths of a request per second, over all nodes.
+  std::uint32_t wait_ms = 0;       ///< Time until a further request will have a token.
+};
+
+/** Answer of the owner, with a grant for each use of the request. */
+struct QuotaAnswer {
+  std::uint64_t epoch = 0;     ///< Of the request.
+  std::uint64_t sequence = 0;  ///< Of the request.
+  std::vector<QuotaGrant> grants;
+};
+
 /** Any directory message. */
-using Message = std::variant<SyncRequest, SyncAnswer, DepartureRequest, DepartureAnswer>;
+using Message = std::variant<SyncRequest, SyncAnswer, DepartureRequest, DepartureAnswer,
+                             FreshnessRequest, FreshnessAnswer, QuotaRequest, QuotaAnswer>;
 
 /** @return @p message in its wire format. */
 std::string Encode(const Message& message);
