--- a/libraries/admission/admission.h
+++ b/libraries/admission/admission.h
@@ -8,6 +8,7 @@
 #include "libraries/admission/admission_level.h"
 #include "libraries/admission/class_queue.h"
 #include "libraries/admission/concurrency_limit.h"
+#include "libraries/admission/fair_share.h"
 #include "libraries/admission/gate_counters.h"
 #include "libraries/admission/gate_limits.h"
 #include "libraries/admission/level_controller.h"
