Mesh, RequestPath: Admit callers by the keys and quotas of client accounts

With accounts declared, a request without a known key ran, the key was passed to the upstream, withdrawn keys were used on and nobody kept a quota. The entry now looks up the key (401 if it is unknown), replaces it by the account's name, lets the account's priority go before the route's, and takes a token of the quota (429 with the time at which there will be one). Calls inherit the account of the request that made them inside the system.

A node that is cut off must not go on accepting keys that were withdrawn meanwhile. Having a control host that has a leader bounds nothing: a host that was frozen learns late that its leader has gone. A control host therefore counts the age of its knowledge from when it sent the last question that the leader answered through a read index, states it in its answers, and a node adds the time since it sent its own question, both on a clock that counts suspension. Past 0.6 of accounts.revocation_time the node answers requests with keys 503 and is not ready. Without that setting, or without accounts, no byte is sent for it.

--- a/libraries/base/time.h
+++ b/libraries/base/time.h
@@ -1,6 +1,8 @@
 #ifndef BORAGELOFT_BASE_TIME_H_
 #define BORAGELOFT_BASE_TIME_H_
 
+#include <time.h>
+
 #include <chrono>
 #include <functional>
 
@@ -26,6 +28,18 @@
   return [] { return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now()); };
 }
 
+/**
+ * @return A hook that reads a monotonic clock that also counts the time for which the machine was
+ *     suspended. Its points in time cannot be compared with those of SystemClock().
+ */
+inline Clock SuspensionAwareClock() {
+  return [] {
+    timespec now{};
+    ::clock_gettime(CLOCK_BOOTTIME, &now);
+    return TimePoint(std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec));
+  };
+}
+
 /** @return A hook that reads the machine's wall clock. */
 inline WallClock SystemWallClock() {
   return [] { return std::chrono::time_point_cast<Duration>(std::chrono::system_clock::now()); };
--- a/libraries/mesh/control_node.cc
+++ b/libraries/mesh/control_node.cc
@@ -46,6 +46,7 @@
                                                       std::move(hooks));
   ControlServiceHooks service_hooks;
   service_hooks.clock = clock_;
+  service_hooks.suspension_aware_clock = base::SuspensionAwareClock();
   service_hooks.random = base::SeededRandom(RandomSeed());
   service_hooks.send = [this](const std::string& node, wire::Channel channel, std::string payload) {
     peers_->SendControl(PeerAddressOf(node), channel, std::move(payload));
--- a/libraries/mesh/control_service.cc
+++ b/libraries/mesh/control_service.cc
@@ -26,6 +26,10 @@
 constexpr std::chrono::milliseconds kExchangeInterval{1000};
 // Bounds the size of a log line; more changes than this come from a review of the whole text.
 constexpr std::size_t kMaximumLoggedChanges = 12;
+// A leader whose lead was confirmed longer ago grants nothing: another one may own the quotas.
+constexpr std::chrono::milliseconds kMaximumOwnerAge{1000};
+// Ages beyond this make no difference to any node.
+constexpr std::int64_t kMaximumAgeMs = 24 * 3600 * 1000;
 // Bounds the memory that the departures of a large fleet take.
 constexpr std::size_t kMaximumIdBytes = 256;
 
@@ -72,7 +76,9 @@
       hooks_(std::move(hooks)),
       timers_(timers),
       directory_(hooks_.random() | 1U, kRecordLifetime, hooks_.clock()),
-      member_(MemberOptionsOf(settings), MemberHooksOf(hooks_), folder, timers) {}
+      member_(MemberOptionsOf(settings), MemberHooksOf(hooks_), folder, timers),
+      freshness_(MakeFreshnessHooks()),
+      quotas_(settings.quotas) {}
 
 ControlService::~ControlService() {
   for (const timer::SubscriptionId subscription : subscriptions_) {
@@ -86,6 +92,34 @@
       timers_.SubscribeEvery(kCheckInterval, [this](base::TimePoint now) { PublishChanges(now); }));
   subscriptions_.push_back(
       timers_.SubscribeEvery(kExchangeInterval, [this](base::TimePoint) { ExchangeRecords(); }));
+  subscriptions_.push_back(timers_.SubscribeEvery(FreshnessKeeper::kPollInterval,
+                                                  [this](base::TimePoint) { freshness_.Poll(); }));
+}
+
+bool ControlService::IsLeader() const {
+  return member_.status().replica_host.soft_state.role == consensus::Role::kLeader;
+}
+
+FreshnessHooks ControlService::MakeFreshnessHooks() {
+  FreshnessHooks hooks;
+  hooks.clock = hooks_.suspension_aware_clock;
+  hooks.send = [this](const std::string& host, const directory::Message& message) {
+    hooks_.send(host, wire::Channel::kMembership, directory::Encode(message));
+  };
+  hooks.send_to_leader = [this](const directory::Message& message) {
+    const std::string leader = member_.status().leader;
+    if (!leader.empty() && leader != node_) {
+      hooks_.send(leader, wire::Channel::kMembership, directory::Encode(message));
+    }
+  };
+  hooks.read_newest = [this](std::function<void(std::optional<declaration::Version>)> done) {
+    member_.ReadNewest([done = std::move(done)](const declaration::DeclarationRegister* newest) {
+      done(newest == nullptr ? std::nullopt : std::optional(newest->version()));
+    });
+  };
+  hooks.is_leader = [this] { return IsLeader(); };
+  hooks.applied_version = [this] { return member_.applied().version(); };
+  return hooks;
 }
 
 void ControlService::PublishChanges(base::TimePoint now) {
@@ -120,6 +154,12 @@
       HandleSync(from, *request);
     } else if (const auto* departure = std::get_if<directory::DepartureRequest>(&message)) {
       HandleDeparture(*departure);
+    } else if (const auto* quota_request = std::get_if<directory::QuotaRequest>(&message)) {
+      HandleQuotaRequest(from, *quota_request);
+    } else if (const auto* question = std::get_if<directory::FreshnessRequest>(&message)) {
+      freshness_.HandleRequest(from, *question);
+    } else if (const auto* freshness = std::get_if<directory::FreshnessAnswer>(&message)) {
+      freshness_.HandleAnswer(*freshness);
     } else if (std::holds_alternative<directory::DepartureAnswer>(message)) {
       throw directory::DirectoryError("departures are for nodes");
     } else if (OtherControlHosts().contains(from)) {
@@ -152,15 +192,76 @@
     answer.declaration = applied.text();
   }
   answer.control_hosts = member_.ControlHosts();
+  if (request.sent_at > 0) {
+    freshness_.RecordInterest();
+    answer.request_sent_at = request.sent_at;
+    answer.age_ms = AgeInMilliseconds();
+  }
   hooks_.send(from, wire::Channel::kMembership, directory::Encode(answer));
 }
 
+// Quotas are owned by the leader. A former leader that has not noticed is told by the age of its
+// knowledge, which a majority must have confirmed lately.
+void ControlService::HandleQuotaRequest(const std::string& from,
+                                        const directory::QuotaRequest& request) {
+  if (request.node.size() > kMaximumIdBytes || (!request.is_forwarded && request.node != from)) {
+    throw directory::DirectoryError("a quota request of another node");
+  }
+  const control_member::MemberStatus status = member_.status();
+  if (!IsLeader()) {
+    if (!request.is_forwarded && !status.leader.empty()) {
+      directory::QuotaRequest forwarded = request;
+      forwarded.is_forwarded = true;
+      hooks_.send(status.leader, wire::Channel::kMembership, directory::Encode(forwarded));
+    }
+    return;
+  }
+  freshness_.RecordInterest();
+  const std::optional<base::Duration> age = freshness_.Age();
+  if (!age || *age > kMaximumOwnerAge) {
+    return;
+  }
+  const base::TimePoint now = hooks_.suspension_aware_clock();
+  if (quota_term_ != status.replica_host.soft_state.term) {
+    quota_term_ = status.replica_host.soft_state.term;
+    quotas_.BeginTerm(now);
+    base::Log(base::LogLevel::kInfo, "quota_term_began",
+              {{"term", static_cast<Json::UInt64>(quota_term_)}});
+  }
+  UpdateQuotas(now);
+  hooks_.send(request.node, wire::Channel::kMembership,
+              directory::Encode(quotas_.Handle(request, now)));
+}
+
+void ControlService::UpdateQuotas(base::TimePoint now) {
+  const declaration::DeclarationRegister& applied = member_.applied();
+  if (quota_version_ == applied.version()) {
+    return;
+  }
+  quota_version_ = applied.version();
+  try {
+    quotas_.SetAccounts(dialect_.decode_declaration(applied.text()).accounts, now);
+  } catch (const declaration::DeclarationError& error) {
+    base::Log(base::LogLevel::kError, "declaration_unreadable",
+              {{"version", static_cast<Json::UInt64>(quota_version_)}, {"error", error.what()}});
+  }
+}
+
+std::optional<std::uint32_t> ControlService::AgeInMilliseconds() {
+  const std::optional<base::Duration> age = freshness_.Age();
+  if (!age) {
+    return std::nullopt;
+  }
+  const auto milliseconds = std::chrono::ceil<std::chrono::milliseconds>(*age).count();
+  return static_cast<std::uint32_t>(std::clamp<std::int64_t>(milliseconds, 0, kMaximumAgeMs));
+}
+
 void ControlService::HandleDeparture(const directory::DepartureRequest& request) {
   if (request.node.size() > kMaximumIdBytes || request.departed.instance.size() > kMaximumIdBytes) {
     throw directory::DirectoryError("the name of a node or an instance is too long");
   }
   const control_member::MemberStatus status = member_.status();
-  if (status.replica_host.soft_state.role != consensus::Role::kLeader) {
+  if (!IsLeader()) {
     if (!request.is_forwarded && !status.leader.empty()) {
       directory::DepartureRequest forwarded = request;
       forwarded.is_forwarded = true;
@@ -230,7 +331,7 @@
 
 void ControlService::HandleReplace(const ReplaceCall& call, const std::string& target,
                                    const CallResponder& respond) {
-  if (member_.status().replica_host.soft_state.role != consensus::Role::kLeader) {
+  if (!IsLeader()) {
     Redirect(target, respond);
     return;
   }
@@ -288,7 +389,7 @@
 }
 
 void ControlService::HandleRead(const std::string& target, const CallResponder& respond) {
-  if (member_.status().replica_host.soft_state.role != consensus::Role::kLeader) {
+  if (!IsLeader()) {
     Redirect(target, respond);
     return;
   }
--- a/libraries/mesh/control_service.h
+++ b/libraries/mesh/control_service.h
@@ -1,13 +1,16 @@
 #ifndef BORAGELOFT_MESH_CONTROL_SERVICE_H_
 #define BORAGELOFT_MESH_CONTROL_SERVICE_H_
 
+#include <cstdint>
 #include <functional>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "libraries/control_member/control_member.h"
 #include "libraries/mesh/dialect.h"
+#include "libraries/mesh/freshness_keeper.h"
 #include "libraries/mesh/mesh_settings.h"
 #include "libraries/wire/wire.h"
 
@@ -17,6 +20,8 @@
 struct ControlServiceHooks {
   base::Clock clock;
   base::Random random;
+  /** Clock that also counts the time for which the machine was suspended. */
+  base::Clock suspension_aware_clock;
   /** Sends a payload to the process at a node's address; it may be lost. */
   std::function<void(const std::string& node, wire::Channel channel, std::string payload)> send;
 };
@@ -65,7 +70,12 @@
 
  private:
   void HandleSync(const std::string& from, const directory::SyncRequest& request);
+  void HandleQuotaRequest(const std::string& from, const directory::QuotaRequest& request);
+  void UpdateQuotas(base::TimePoint now);
   void HandleDeparture(const directory::DepartureRequest& request);
+  FreshnessHooks MakeFreshnessHooks();
+  bool IsLeader() const;
+  std::optional<std::uint32_t> AgeInMilliseconds();
   void SendDepartures(const std::string& node, std::uint64_t epoch);
   void HandleReplace(const ReplaceCall& call, const std::string& target,
                      const CallResponder& respond);
@@ -86,6 +96,10 @@
   timer::TimerService& timers_;
   directory::ControlDirectory directory_;
   control_member::Member member_;
+  FreshnessKeeper freshness_;
+  quota::QuotaOwner quotas_;
+  consensus::Term quota_term_ = 0;          // Term in which this host owns the quotas.
+  declaration::Version quota_version_ = 0;  // Declaration that the quotas are of.
   // Departures that are proposed and not yet committed; nodes repeat their requests meanwhile.
   std::vector<directory::Departure> proposed_departures_;
   std::vector<timer::SubscriptionId> subscriptions_;
--- a/libraries/mesh/directory_sync.cc
+++ b/libraries/mesh/directory_sync.cc
@@ -83,6 +83,10 @@
     request.registry_epoch = position.epoch;
     request.registry_revision = position.revision;
   }
+  if (needs_age_) {
+    request.sent_at =
+        static_cast<std::uint64_t>(hooks_.suspension_aware_clock().time_since_epoch().count());
+  }
   std::optional<base::TimePoint>& awaited_since = hosts_[host].awaited_since;
   awaited_since = awaited_since.value_or(hooks_.clock());
   hooks_.send(host, directory::Encode(request));
@@ -173,6 +177,7 @@
     version_ = answer.version;
     hooks_.on_declaration(answer.version, answer.declaration);
   }
+  LearnAge(answer);
   if (preferred_.empty()) {
     SelectHosts();
     Send(preferred_, directory::SyncKind::kRecords);
@@ -191,6 +196,27 @@
   }
 }
 
+// The answer tells what was in force when the control host wrote it, which was after the request
+// was sent.
+void DirectorySync::LearnAge(const directory::SyncAnswer& answer) {
+  if (!answer.age_ms || answer.request_sent_at == 0 || answer.version > version_) {
+    return;
+  }
+  const base::TimePoint sent_at(
+      base::Duration(static_cast<base::Duration::rep>(answer.request_sent_at)));
+  // An answer to an earlier process of this node may name a time of before the machine's start.
+  if (sent_at > hooks_.suspension_aware_clock()) {
+    return;
+  }
+  const base::TimePoint as_of = sent_at - std::chrono::milliseconds(*answer.age_ms);
+  known_as_of_ = std::max(known_as_of_.value_or(as_of), as_of);
+}
+
+std::optional<base::Duration> DirectorySync::Age() const {
+  return known_as_of_ ? std::optional(hooks_.suspension_aware_clock() - *known_as_of_)
+                      : std::nullopt;
+}
+
 void DirectorySync::UpdateHosts(const std::vector<std::string>& hosts) {
   std::set<std::string> updated(hosts.begin(), hosts.end());
   updated.insert(seeds_.begin(), seeds_.end());
--- a/libraries/mesh/directory_sync.h
+++ b/libraries/mesh/directory_sync.h
@@ -16,6 +16,8 @@
 /** Hooks of a DirectorySync. */
 struct DirectorySyncHooks {
   base::Clock clock;
+  /** Clock that also counts the time for which the machine was suspended. */
+  base::Clock suspension_aware_clock;
   /** Sends bytes to the control host at an address; they may be lost. */
   std::function<void(const std::string& address, std::string bytes)> send;
   /** Called with the nodes whose records have changed. */
@@ -54,6 +56,15 @@
   /** Handles the answer of a control host. */
   void Receive(const std::string& from, const directory::SyncAnswer& answer);
 
+  /** Sets whether the age of the declaration in force must be bounded, which costs some bytes. */
+  void set_needs_age(bool needs_age) { needs_age_ = needs_age; }
+
+  /**
+   * @return Time for which a declaration may have been in force that this node does not know;
+   *     nothing if there is no bound.
+   */
+  std::optional<base::Duration> Age() const;
+
   const directory::DirectoryView& view() const { return view_; }
   /** @return Version of the newest declaration received. */
   std::uint64_t version() const { return version_; }
@@ -83,6 +94,7 @@
   };
 
   void Send(const std::string& host, directory::SyncKind kind);
+  void LearnAge(const directory::SyncAnswer& answer);
   void SendToOthers();
   void ExpireHosts(base::TimePoint now);
   void SelectHosts();
@@ -113,6 +125,8 @@
   std::string last_asked_;  // Of the others, which are asked in turn.
   unsigned polls_ = 0;
   std::uint64_t version_ = 0;
+  bool needs_age_ = false;
+  std::optional<base::TimePoint> known_as_of_;  // On the clock that counts suspension.
   bool has_current_answer_ = false;  // A control host in contact with the leader has answered.
 };
 
--- a/libraries/mesh/mesh_node.cc
+++ b/libraries/mesh/mesh_node.cc
@@ -79,8 +79,10 @@
       random_(base::SeededRandom(std::random_device()())),
       log_(clock_) {
   const MeshSettings& settings = loop_.settings();
-  presence_ = std::make_unique<NodePresence>(settings, UnixMillisecondsNow(), dialect_,
-                                             MakePresenceHooks(), loop_.timers());
+  const std::uint64_t epoch = UnixMillisecondsNow();
+  presence_ = std::make_unique<NodePresence>(settings, epoch, dialect_, MakePresenceHooks(),
+                                             loop_.timers());
+  quotas_ = std::make_unique<quota::QuotaClient>(node_, epoch, settings.quotas, MakeQuotaHooks());
   request_path::UpstreamPoolOptions pool_options;
   pool_options.endpoint = settings.upstream;
   pool_options.held_bytes = held_bytes_;
@@ -114,6 +116,13 @@
   hooks.on_call_failed = [this](const std::string& request_id) {
     gate_->NoteFailedCall(request_id);
   };
+  hooks.take_quota = [this](const std::string& account,
+                            std::function<void(const request_path::QuotaDecision&)> handler) {
+    TakeQuota(account, std::move(handler));
+  };
+  hooks.return_quota = [this](const std::string& account) { quotas_->Return(account); };
+  hooks.account_demand = [this](const std::string& account) { return quotas_->Demand(account); };
+  hooks.are_keys_fresh = [this] { return presence_->AreKeysFresh(); };
   entry_ = std::make_unique<request_path::Entry>(std::move(entry_options), settings.zone,
                                                  std::move(hooks), loop_.timers(), log_);
   entry_->chooser().set_is_silent([this](const std::string& node) {
@@ -128,6 +137,7 @@
 NodePresenceHooks MeshNode::MakePresenceHooks() {
   NodePresenceHooks hooks;
   hooks.clock = clock_;
+  hooks.suspension_aware_clock = base::SuspensionAwareClock();
   hooks.send = [this](const std::string& host, std::string payload) {
     peers_->SendControl(PeerAddressOf(host), wire::Channel::kMembership, std::move(payload));
   };
@@ -147,9 +157,34 @@
     }
   };
   hooks.on_instance_lost = [this] { pool_->DropIdle(); };
+  hooks.on_quota_answer = [this](const directory::QuotaAnswer& answer) {
+    quotas_->HandleAnswer(answer);
+  };
+  return hooks;
+}
+
+quota::QuotaHooks MeshNode::MakeQuotaHooks() {
+  quota::QuotaHooks hooks;
+  hooks.clock = base::SuspensionAwareClock();
+  hooks.random = random_;
+  hooks.send = [this](const directory::QuotaRequest& request) {
+    presence_->SendToQuotaOwner(request);
+  };
   return hooks;
 }
 
+void MeshNode::TakeQuota(const std::string& account,
+                         std::function<void(const request_path::QuotaDecision& decision)> handler) {
+  quotas_->Request(account, [handler = std::move(handler)](const quota::QuotaVerdict& verdict) {
+    using request_path::Refusal;
+    const Refusal refusal = verdict.outcome == quota::QuotaOutcome::kAdmitted ? Refusal::kNone
+                            : verdict.outcome == quota::QuotaOutcome::kExceeded
+                                ? Refusal::kQuotaExceeded
+                                : Refusal::kQuotaUnknown;
+    handler({refusal, verdict.retry_after});
+  });
+}
+
 void MeshNode::Listen() {
   const MeshSettings& settings = loop_.settings();
   transport::TransportHooks hooks;
@@ -203,6 +238,7 @@
   }
   loop_.timers().SubscribeEvery(kCheckInterval, [this](base::TimePoint) {
     peers_->CheckHeartbeats();
+    quotas_->Poll();
     CheckDrained();
   });
   presence_->Start();
@@ -229,7 +265,7 @@
   unsigned status = kNotFound;
   std::string body;
   if (std::holds_alternative<ReadinessCall>(call)) {
-    const bool is_ready = entry_->version() > 0 && !draining_since_;
+    const bool is_ready = entry_->version() > 0 && !draining_since_ && presence_->AreKeysFresh();
     status = is_ready ? kOk : kServiceUnavailable;
   } else if (const auto* heartbeat = std::get_if<HeartbeatCall>(&call)) {
     presence_->HandleHeartbeat(heartbeat->heartbeat, RespondToAnnouncement(exchange));
@@ -305,6 +341,7 @@
 
 void MeshNode::HandleDeclaration(const declaration::Declaration& declaration) {
   entry_->SetDeclaration(declaration);
+  quotas_->SetAccounts(declaration.accounts);
   http_stream::ServerLimits limits;
   limits.connections = loop_.settings().connections;
   limits.held_bytes = held_bytes_;
@@ -331,6 +368,7 @@
   }
   const std::size_t own = records.contains(node_) ? 0 : 1;
   entry_->budget().set_nodes(records.size() + own);
+  quotas_->set_nodes(records.size() + own);
 }
 
 void MeshNode::DescribeLoad(directory::InstanceRecord& record) const {
@@ -420,6 +458,17 @@
            FindWaits(presence_->startup_state()).size());
   text.Add("borageloft_control_hosts", "Control hosts that answered lately",
            presence_->reachable_control_hosts());
+  const quota::QuotaClientCounters& quotas = quotas_->counters();
+  text.Add("borageloft_quota_admitted_total", "Requests that the quota of an account admitted",
+           quotas.admitted);
+  text.Add("borageloft_quota_exceeded_total", "Requests beyond the quota of an account",
+           quotas.exceeded);
+  text.Add("borageloft_quota_unknown_total", "Requests refused because no owner answered",
+           quotas.unknown);
+  text.Add("borageloft_quota_own_share_total", "Requests admitted from the node's own share",
+           quotas.own_share);
+  text.Add("borageloft_quota_waiting", "Requests that wait for the owner of the quotas",
+           quotas_->waiting());
   text.Add("borageloft_log_lines_dropped_total", "Log lines beyond the bound", log_.dropped());
   exchange.Respond(MakeResponse(kOk, text.Serialize(), "text/plain; version=0.0.4"));
 }
--- a/libraries/mesh/mesh_node.h
+++ b/libraries/mesh/mesh_node.h
@@ -49,6 +49,9 @@
   void HandlePeerCancel(const transport::InboundRequestId& id);
   void HandleDeclaration(const declaration::Declaration& declaration);
   void HandleRecords(const directory::NodeSet& changed);
+  quota::QuotaHooks MakeQuotaHooks();
+  void TakeQuota(const std::string& account,
+                 std::function<void(const request_path::QuotaDecision& decision)> handler);
   void DescribeLoad(directory::InstanceRecord& record) const;
   void CheckDrained();
   void RespondMetrics(const http_stream::Exchange& exchange);
@@ -61,6 +64,7 @@
   base::Random random_;
   request_path::DecisionLog log_;
   std::unique_ptr<NodePresence> presence_;
+  std::unique_ptr<quota::QuotaClient> quotas_;
   std::unique_ptr<request_path::UpstreamPool> pool_;
   std::unique_ptr<request_path::LocalGate> gate_;
   std::unique_ptr<request_path::Entry> entry_;
--- a/libraries/mesh/mesh_settings.cc
+++ b/libraries/mesh/mesh_settings.cc
@@ -21,8 +21,8 @@
 constexpr std::size_t kMemoryPerHeldByte = 8;
 constexpr std::size_t kMaximumDefaultHeldMegabytes = 32;
 
-constexpr std::array<std::string_view, 7> kSections = {"mesh",    "listen", "upstream", "control",
-                                                       "retries", "limits", "log"};
+constexpr std::array<std::string_view, 9> kSections = {
+    "mesh", "listen", "upstream", "control", "accounts", "quotas", "retries", "limits", "log"};
 
 /** Reads the sections of one settings file. */
 class MeshSettingsReader {
@@ -38,6 +38,8 @@
       ReadUpstream();
     }
     ReadControl();
+    ReadAccounts();
+    ReadQuotas();
     ReadRetries();
     ReadLimits();
     ValueParser log = Section("log");
@@ -124,6 +126,25 @@
     parser.RefuseUnknownKeys();
   }
 
+  void ReadAccounts() {
+    ValueParser parser = Section("accounts");
+    if (parser.Has("revocation_time")) {
+      settings_.revocation_time =
+          parser.Time("revocation_time", seconds(5), seconds(1), seconds(3600));
+    }
+    parser.RefuseUnknownKeys();
+  }
+
+  void ReadQuotas() {
+    ValueParser parser = Section("quotas");
+    settings_.quotas.window =
+        parser.Time("window", settings_.quotas.window, seconds(1), seconds(600));
+    settings_.quotas.overshoot = parser.Share("overshoot", settings_.quotas.overshoot, 0, 1);
+    settings_.quotas.slack = static_cast<double>(
+        parser.Integer("slack", static_cast<std::int64_t>(settings_.quotas.slack), 0, 100'000));
+    parser.RefuseUnknownKeys();
+  }
+
   void ReadRetries() {
     ValueParser parser = Section("retries");
     settings_.retries.ratio = parser.Share("ratio", settings_.retries.ratio, 0, 1);
--- a/libraries/mesh/mesh_settings.h
+++ b/libraries/mesh/mesh_settings.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "libraries/quota/quota.h"
 #include "libraries/request_path/request_path.h"
 #include "libraries/settings/settings.h"
 
@@ -37,6 +38,12 @@
   std::size_t tolerated_losses = 0;
   std::string data_folder;
 
+  /** Time after which a withdrawn key must not be accepted on any host; nothing if it only has to
+   * follow the declaration in force. */
+  std::optional<base::Duration> revocation_time;
+
+  quota::QuotaOptions quotas;
+
   request_path::RetryBudgetOptions retries;
   base::Duration drain_time = std::chrono::seconds(6);
   std::size_t connections = 3000;
--- a/libraries/mesh/node_presence.cc
+++ b/libraries/mesh/node_presence.cc
@@ -14,12 +14,18 @@
 // Time after the start of a drain at which the record of the local upstream changes to leaving. The
 // rest of the minimum drain time suffices to propagate the change and to finish the work begun.
 constexpr std::chrono::milliseconds kWithdrawalDelay{1300};
+// Time without an answer after which the owner of the quotas is looked for again.
+constexpr std::chrono::milliseconds kQuotaOwnerTimeout{200};
+// Share of the revocation time for which keys are accepted without contact to the control hosts.
+// The rest is a margin for requests that are under way.
+constexpr double kMaximumAgeShare = 0.6;
 
 DirectorySyncHooks SyncHooksOf(
     const NodePresenceHooks& hooks,
     std::function<void(std::uint64_t version, const std::string& text)> on_declaration) {
   DirectorySyncHooks sync_hooks;
   sync_hooks.clock = hooks.clock;
+  sync_hooks.suspension_aware_clock = hooks.suspension_aware_clock;
   sync_hooks.send = hooks.send;
   sync_hooks.on_records = hooks.on_records;
   sync_hooks.on_declaration = std::move(on_declaration);
@@ -34,6 +40,7 @@
       zone_(settings.zone),
       service_(settings.service),
       epoch_(epoch),
+      revocation_time_(settings.revocation_time),
       dialect_(std::move(dialect)),
       hooks_(std::move(hooks)),
       timers_(timers),
@@ -84,6 +91,12 @@
     const directory::Message message = directory::Decode(payload);
     if (const auto* answer = std::get_if<directory::SyncAnswer>(&message)) {
       sync_.Receive(from, *answer);
+    } else if (const auto* quotas = std::get_if<directory::QuotaAnswer>(&message)) {
+      quota_owner_ = from;
+      quota_asked_at_.reset();
+      if (hooks_.on_quota_answer) {
+        hooks_.on_quota_answer(*quotas);
+      }
     } else if (const auto* departures = std::get_if<directory::DepartureAnswer>(&message)) {
       const bool had_recalled = departures_.has_recalled();
       departures_.Receive(*departures);
@@ -101,6 +114,8 @@
   try {
     const declaration::Declaration declaration = dialect_.decode_declaration(text);
     version_ = declaration.version;
+    has_accounts_ = !declaration.accounts.empty();
+    sync_.set_needs_age(has_accounts_ && revocation_time_.has_value());
     hooks_.on_declaration(declaration);
     for (const declaration::ServiceEntry& service : declaration.services) {
       if (service.name == service_) {
@@ -231,6 +246,26 @@
   return state;
 }
 
+void NodePresence::SendToQuotaOwner(const directory::QuotaRequest& request) {
+  const base::TimePoint now = hooks_.clock();
+  quota_asked_at_ = quota_asked_at_.value_or(now);
+  if (now - *quota_asked_at_ >= kQuotaOwnerTimeout) {
+    quota_owner_.clear();
+  }
+  const std::string& host = quota_owner_.empty() ? sync_.preferred_host() : quota_owner_;
+  if (!host.empty()) {
+    hooks_.send(host, directory::Encode(request));
+  }
+}
+
+bool NodePresence::AreKeysFresh() const {
+  if (!has_accounts_ || !revocation_time_) {
+    return true;
+  }
+  const std::optional<base::Duration> age = sync_.Age();
+  return age && *age < kMaximumAgeShare * *revocation_time_;
+}
+
 void NodePresence::HandleSettings(const MeshSettings& settings) {
   sync_.SetSeeds(SeedNodes(settings));
 }
--- a/libraries/mesh/node_presence.h
+++ b/libraries/mesh/node_presence.h
@@ -31,6 +31,8 @@
 /** Hooks of a NodePresence. */
 struct NodePresenceHooks {
   base::Clock clock;
+  /** Clock that also counts the time for which the machine was suspended. */
+  base::Clock suspension_aware_clock;
   /** Sends a payload to the control host at an address; it may be lost. */
   std::function<void(const std::string& host, std::string payload)> send;
   /** Asks the upstream for its health at a path. */
@@ -46,6 +48,8 @@
   std::function<void(const directory::InstanceRecord& record)> on_own_record;
   /** Called when the instance was replaced or has fallen silent. */
   std::function<void()> on_instance_lost;
+  /** Called with each answer of the owner of the quotas. May be empty. */
+  std::function<void(const directory::QuotaAnswer& answer)> on_quota_answer = {};
 };
 
 /**
@@ -84,9 +88,17 @@
   /** Publishes the own record if it has changed. */
   void PublishRecord();
 
+  /** Sends a request to the owner of the quotas, through a control host until it is known. */
+  void SendToQuotaOwner(const directory::QuotaRequest& request);
+
   directory::LocalInstance& instance() { return instance_; }
   const directory::DirectoryView& view() const { return sync_.view(); }
   std::size_t reachable_control_hosts() const { return sync_.reachable_hosts(); }
+  /**
+   * @return Whether a key that was withdrawn longer ago than the settings allow is known to be
+   *     withdrawn. Always true if the settings state no such time or no account is declared.
+   */
+  bool AreKeysFresh() const;
   /** @return Version of the declaration in force, or 0. */
   declaration::Version version() const { return version_; }
   /** @return What the node has obtained of what it needs to answer requests. */
@@ -104,6 +116,7 @@
   const std::string zone_;
   const std::string service_;
   const std::uint64_t epoch_;
+  const std::optional<base::Duration> revocation_time_;
   const Dialect dialect_;
   const NodePresenceHooks hooks_;
   timer::TimerService& timers_;
@@ -112,8 +125,11 @@
   DirectorySync sync_;
   DepartureKeeper departures_;
   StartupReport startup_report_;
+  std::string quota_owner_;                        // Control host that answered last.
+  std::optional<base::TimePoint> quota_asked_at_;  // Of the first request since that answer.
   std::string health_path_;  // Of the local upstream, from the declaration in force.
   declaration::Version version_ = 0;
+  bool has_accounts_ = false;  // In the declaration in force.
   std::uint64_t record_revision_ = 0;
   directory::InstanceRecord record_;
   std::optional<base::TimePoint> draining_since_;
--- a/libraries/request_path/entry.cc
+++ b/libraries/request_path/entry.cc
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr unsigned kBadRequest = 400;
+constexpr unsigned kUnauthorized = 401;
 constexpr unsigned kNotFound = 404;
 constexpr unsigned kServiceUnavailable = 503;
 
@@ -44,6 +45,8 @@
       return kNotFound;
     case Refusal::kMalformed:
       return kBadRequest;
+    case Refusal::kUnknownKey:
+      return kUnauthorized;
     default:
       return kServiceUnavailable;
   }
@@ -72,6 +75,7 @@
   VERIFY(declaration.version > version_);
   version_ = declaration.version;
   routes_ = std::make_unique<declaration::RouteTable>(declaration, hooks_.random);
+  accounts_ = std::make_unique<declaration::AccountTable>(declaration.accounts);
 }
 
 CancelHook Entry::Handle(http_stream::RequestMessage message, base::TimePoint received,
@@ -92,6 +96,15 @@
     Refuse(message, Refusal::kNoRoute, answer);
     return {};
   }
+  const wire::Placement* parent = FindParent(*id);
+  const declaration::ClientAccount* account = nullptr;
+  if (parent == nullptr) {
+    const Refusal refusal = FindAccount(message, *id, route->route().is_public, account);
+    if (refusal != Refusal::kNone) {
+      Refuse(message, refusal, answer);
+      return {};
+    }
+  }
   base::Duration limit = options_.default_deadline;
   if (route->route().timeout > base::Duration::zero()) {
     limit = route->route().timeout;
@@ -118,7 +131,13 @@
   plan.due = std::min(plan.deadline, received + limit);
   plan.priority = plan.route.priority;
   plan.shed_key = base::Hash(plan.request_id);
-  if (const wire::Placement* parent = FindParent(plan.request_id)) {
+  if (account != nullptr) {
+    plan.account = account->name;
+    plan.shed_key = FairKeyOf(plan.account, plan.shed_key, received);
+    plan.priority = account->priority.value_or(plan.priority);
+  }
+  if (parent != nullptr) {
+    plan.account = parent->account;
     plan.origin = wire::RequestOrigin::kUpstream;
     plan.priority = parent->priority;
     plan.shed_key = parent->shed_key;
@@ -132,6 +151,11 @@
   http_stream::RemoveField(message.fields, options_.names.timeout_ms);
   http_stream::RemoveField(message.fields, options_.names.expected_instance);
   http_stream::SetField(message.fields, options_.names.caller_service, options_.service);
+  http_stream::RemoveField(message.fields, options_.names.account_key);
+  http_stream::RemoveField(message.fields, options_.names.account);
+  if (account != nullptr) {
+    message.fields.push_back({options_.names.account, account->name});
+  }
   plan.message = std::move(message);
   const std::uint64_t run_id = plan.id;
   const auto run = std::make_shared<RequestRun>(*this, std::move(plan), std::move(answer));
@@ -150,6 +174,39 @@
   return end == std::string::npos ? nullptr : hooks_.find_running(request_id.substr(0, end));
 }
 
+Refusal Entry::FindAccount(const http_stream::RequestMessage& message,
+                           const std::string& request_id, bool is_public,
+                           const declaration::ClientAccount*& account) const {
+  if (accounts_->is_empty()) {
+    return Refusal::kNone;
+  }
+  const std::string* key = http_stream::FindField(message.fields, options_.names.account_key);
+  account = key == nullptr ? nullptr : accounts_->FindByKey(*key);
+  if (is_public) {
+    return Refusal::kNone;
+  }
+  // Calls carry no key. Without the request that made it, a call has no account either.
+  const bool is_call = request_id.find(kIdSeparator) != std::string::npos;
+  if (key == nullptr && is_call) {
+    return Refusal::kOrphanedCall;
+  }
+  // A node with outdated keys may not know a key that was added, nor miss one that was withdrawn.
+  if (hooks_.are_keys_fresh && !hooks_.are_keys_fresh()) {
+    return Refusal::kKeysOutdated;
+  }
+  return account == nullptr ? Refusal::kUnknownKey : Refusal::kNone;
+}
+
+std::uint64_t Entry::FairKeyOf(const std::string& account, std::uint64_t root_hash,
+                               base::TimePoint now) {
+  fair_share_.RecordArrival(account, now);
+  const double demand = hooks_.account_demand ? hooks_.account_demand(account) : 0;
+  if (demand > 0) {
+    fair_share_.ReportDemand(account, demand, now);
+  }
+  return fair_share_.KeyOf(account, root_hash, now);
+}
+
 void Entry::ReportFailedCall(const std::string& request_id) const {
   const std::size_t end = request_id.rfind(kIdSeparator);
   if (end != std::string::npos && hooks_.on_call_failed) {
--- a/libraries/request_path/entry.h
+++ b/libraries/request_path/entry.h
@@ -23,6 +23,12 @@
 /** Delivers the answer to the sender of a request. */
 using AnswerHook = std::function<void(http_stream::ResponseMessage response)>;
 
+/** Decision of the quota of a client account on one request. */
+struct QuotaDecision {
+  Refusal refusal = Refusal::kNone;  ///< kNone, kQuotaExceeded or kQuotaUnknown.
+  base::Duration retry_after{};      ///< When the account will have room again.
+};
+
 /** Settings of an entry. */
 struct EntryOptions {
   /** Service on this host, sent to upstreams as the calling service. */
@@ -50,6 +56,20 @@
   std::function<const wire::Placement*(const std::string& request_id)> find_running;
   /** Called when a call made by the running request with this id failed. May be empty. */
   std::function<void(const std::string& request_id)> on_call_failed = {};
+  /**
+   * Takes a request from the quota of a client account; the handler is called exactly once,
+   * possibly before this returns. Empty: no account has a quota.
+   */
+  std::function<void(const std::string& account,
+                     std::function<void(const QuotaDecision& decision)> handler)>
+      take_quota = {};
+  /** Gives back what was taken for a request that has not run. Set together with `take_quota`. */
+  std::function<void(const std::string& account)> return_quota = {};
+  /** Demand for a client account over all nodes, in requests per second; 0 if it is not known. May
+   * be empty. */
+  std::function<double(const std::string& account)> account_demand = {};
+  /** Whether no withdrawal of a key can be unknown to this node for too long. Empty: always. */
+  std::function<bool()> are_keys_fresh = {};
 };
 
 /** Counters of an entry, for metrics. */
@@ -116,6 +136,8 @@
   InstanceChooser& chooser() { return chooser_; }
   RetryBudget& budget() { return budget_; }
   const EntryCounters& counters() const { return counters_; }
+  /** @return Whether the declaration in force names client accounts. */
+  bool has_accounts() const { return accounts_ != nullptr && !accounts_->is_empty(); }
   /** @return Declaration version in force; 0 before the first declaration. */
   declaration::Version version() const { return version_; }
   std::size_t runs_in_progress() const { return runs_.size(); }
@@ -126,6 +148,9 @@
   void RecordCall(const std::string& service, const wire::Placement& parent);
   void ReportFailedCall(const std::string& request_id) const;
   const wire::Placement* FindParent(const std::string& request_id) const;
+  Refusal FindAccount(const http_stream::RequestMessage& message, const std::string& request_id,
+                      bool is_public, const declaration::ClientAccount*& account) const;
+  std::uint64_t FairKeyOf(const std::string& account, std::uint64_t root_hash, base::TimePoint now);
   void Refuse(const http_stream::RequestMessage& message, Refusal refusal,
               const AnswerHook& answer);
   void EndRun(std::uint64_t id);
@@ -141,6 +166,8 @@
   // Calls to each of `called_services_` that were made while the local upstream ran a call itself.
   std::vector<std::uint64_t> calls_below_calls_;
   std::unique_ptr<declaration::RouteTable> routes_;
+  std::unique_ptr<declaration::AccountTable> accounts_;
+  admission::FairShare fair_share_;
   declaration::Version version_ = 0;
   bool is_taking_ = true;
   std::map<std::uint64_t, std::shared_ptr<RequestRun>> runs_;
--- a/libraries/request_path/header_names.h
+++ b/libraries/request_path/header_names.h
@@ -27,6 +27,10 @@
   std::string upstream_rate_limit = "Borageloft-Upstream-Rate-Limit";
   /** Set to "1" by an upstream that is leaving on all of its answers. */
   std::string upstream_leaving = "Borageloft-Upstream-Leaving";
+  /** Key of the caller's client account; never passed on. */
+  std::string account_key = "Borageloft-Account-Key";
+  /** Name of the client account that holds the caller's key; passed to upstreams. */
+  std::string account = "Borageloft-Account";
   /** Set by an upstream on its health answers: the id of its instance. Empty if the upstreams set
    * no such header. */
   std::string instance = "";
--- a/libraries/request_path/refusal.cc
+++ b/libraries/request_path/refusal.cc
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::array<std::pair<Refusal, std::string_view>, 20> kTexts = {{
+constexpr std::array<std::pair<Refusal, std::string_view>, 25> kTexts = {{
     {Refusal::kNone, "none"},
     {Refusal::kNoDeclaration, "no_declaration"},
     {Refusal::kNodeLeaving, "node_leaving"},
@@ -29,6 +29,11 @@
     {Refusal::kUpstreamGarbled, "upstream_garbled"},
     {Refusal::kCallFailed, "call_failed"},
     {Refusal::kTooManyBytes, "too_many_bytes"},
+    {Refusal::kUnknownKey, "unknown_key"},
+    {Refusal::kOrphanedCall, "orphaned_call"},
+    {Refusal::kKeysOutdated, "keys_outdated"},
+    {Refusal::kQuotaExceeded, "quota_exceeded"},
+    {Refusal::kQuotaUnknown, "quota_unknown"},
 }};
 
 }  // namespace
--- a/libraries/request_path/refusal.h
+++ b/libraries/request_path/refusal.h
@@ -27,6 +27,11 @@
   kUpstreamGarbled,      // The answer is malformed, or a success without the seal header.
   kCallFailed,           // The upstream returned an error after one of its calls failed.
   kTooManyBytes,         // The request bodies on this node have reached their size limit.
+  kUnknownKey,           // No client account holds the key, or the request has none.
+  kOrphanedCall,   // The request that made the call no longer runs, so its account is unknown.
+  kKeysOutdated,   // This node may have missed the withdrawal of the key.
+  kQuotaExceeded,  // The client account has used up its quota.
+  kQuotaUnknown,   // The owner of the quotas cannot be reached.
 };
 
 /** @return Stable identifier for logs, metrics and messages between nodes. */
--- a/libraries/request_path/request_run.cc
+++ b/libraries/request_path/request_run.cc
@@ -10,6 +10,7 @@
 
 namespace {
 
+constexpr unsigned kTooManyRequests = 429;
 constexpr unsigned kBadGateway = 502;
 constexpr unsigned kServiceUnavailable = 503;
 constexpr unsigned kGatewayTimeout = 504;
@@ -41,6 +42,8 @@
   return std::chrono::duration<double, std::milli>(duration).count();
 }
 
+double Seconds(base::Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
 }  // namespace
 
 RequestRun::RequestRun(Entry& entry, RunPlan plan, AnswerHook answer)
@@ -63,7 +66,40 @@
   }
   timeout_ = entry_.timers_.SubscribeOnce(
       plan_.due - now, [self = shared_from_this()](base::TimePoint) { self->HandleTimeout(); });
-  Send();
+  if (plan_.origin == wire::RequestOrigin::kCaller && !plan_.account.empty() &&
+      entry_.hooks_.take_quota) {
+    TakeQuota();
+  } else {
+    Send();
+  }
+}
+
+void RequestRun::TakeQuota() {
+  entry_.hooks_.take_quota(
+      plan_.account, [weak = weak_from_this(), account = plan_.account,
+                      give_back = entry_.hooks_.return_quota](const QuotaDecision& decision) {
+        const auto self = weak.lock();
+        if (self == nullptr || self->is_done_) {
+          if (decision.refusal == Refusal::kNone) {
+            give_back(account);
+          }
+          return;
+        }
+        if (decision.refusal == Refusal::kQuotaExceeded) {
+          self->AnswerWithError(kTooManyRequests, decision.refusal, decision.retry_after);
+        } else if (decision.refusal != Refusal::kNone) {
+          self->AnswerWithError(kServiceUnavailable, decision.refusal);
+        } else {
+          self->has_quota_ = true;
+          self->Send();
+        }
+      });
+}
+
+void RequestRun::ReturnQuota() {
+  if (std::exchange(has_quota_, false)) {
+    entry_.hooks_.return_quota(plan_.account);
+  }
 }
 
 void RequestRun::Send() {
@@ -124,6 +160,7 @@
   request.placement.priority = plan_.priority;
   request.placement.shed_key = plan_.shed_key;
   request.placement.origin = plan_.origin;
+  request.placement.account = plan_.account;
   // Calls made by a retried run count as retries.
   request.placement.attempt = arrivals_ + (plan_.is_below_retry ? 2 : 1);
   request.placement.wait_limit = WaitLimit();
@@ -317,20 +354,24 @@
   Finish(std::move(message));
 }
 
-void RequestRun::AnswerWithError(unsigned status, Refusal refusal) {
+void RequestRun::AnswerWithError(unsigned status, Refusal refusal,
+                                 std::optional<base::Duration> retry_after) {
   const std::string reason(TextOf(refusal));
   http_stream::ResponseMessage message;
   message.status = status;
   message.fields.push_back({entry_.options_.names.request_id, plan_.request_id});
   message.body = reason;
-  if (status == kServiceUnavailable) {
+  const bool is_refusal = status == kServiceUnavailable || status == kTooManyRequests;
+  if (is_refusal) {
+    ReturnQuota();
     ++entry_.counters_.refused[reason];
-    message.fields.push_back({"Retry-After", RetryAfter(entry_.hooks_.clock())});
+    message.fields.push_back({"Retry-After", retry_after
+                                                 ? fmt::format("{:.3f}", Seconds(*retry_after))
+                                                 : RetryAfter(entry_.hooks_.clock())});
   } else {
     ++entry_.counters_.failed[reason];
   }
-  Log(LogSampling::kAlways, status == kServiceUnavailable ? "request_refused" : "request_failed",
-      reason, status);
+  Log(LogSampling::kAlways, is_refusal ? "request_refused" : "request_failed", reason, status);
   Finish(std::move(message));
 }
 
@@ -371,6 +412,7 @@
        {"route", plan_.route.name},
        {"service", plan_.service},
        {"version", static_cast<Json::UInt64>(entry_.version_)},
+       {"account", plan_.account},
        {"origin", plan_.origin == wire::RequestOrigin::kUpstream ? "upstream" : "caller"},
        {"outcome", std::string(outcome)},
        {"status", status},
--- a/libraries/request_path/request_run.h
+++ b/libraries/request_path/request_run.h
@@ -17,6 +17,7 @@
   std::string service;
   declaration::Route route;
   wire::RequestOrigin origin = wire::RequestOrigin::kCaller;
+  std::string account;                  // Of the root request; empty if it has none.
   std::uint32_t priority = 0;           // Of the root request.
   std::uint64_t shed_key = 0;           // Of the root request.
   bool is_below_retry = false;          // The calling upstream itself runs a retry.
@@ -50,6 +51,8 @@
     CancelHook cancel;
   };
 
+  void TakeQuota();
+  void ReturnQuota();
   void Send();
   const directory::InstanceRecord* ChooseNext(base::TimePoint now);
   wire::Request MakeRequest(const directory::InstanceRecord& instance, base::TimePoint now) const;
@@ -63,7 +66,8 @@
   void CancelAttempt();
   void Conclude(wire::Response response);
   void ForwardAnswer(wire::Response response);
-  void AnswerWithError(unsigned status, Refusal refusal);
+  void AnswerWithError(unsigned status, Refusal refusal,
+                       std::optional<base::Duration> retry_after = std::nullopt);
   void Finish(http_stream::ResponseMessage response);
   std::string RetryAfter(base::TimePoint now) const;
   void Log(LogSampling sampling, std::string_view event, std::string_view outcome,
@@ -76,6 +80,7 @@
   std::optional<Attempt> attempt_;
   std::uint64_t sends_ = 0;     // Attempts sent to a gate.
   std::uint32_t arrivals_ = 0;  // Attempts that reached or may have reached an upstream.
+  bool has_quota_ = false;      // A token was taken for the request.
   bool may_have_run_ = false;
   bool is_overdue_ = false;  // The timeout has passed and the attempt was cancelled.
   bool is_done_ = false;
--- a/libraries/wire/frame.h
+++ b/libraries/wire/frame.h
@@ -55,6 +55,8 @@
   bool is_idempotent = false;
   /** Rate that the instance named when it last answered the sender, as in LoadReport. */
   std::uint32_t rate_limit_milli = 0;
+  /** Client account of the root request; empty if it has none. */
+  std::string account = {};
 
   friend bool operator==(const Placement&, const Placement&) = default;
 };
--- a/libraries/wire/frame_codec.cc
+++ b/libraries/wire/frame_codec.cc
@@ -167,6 +167,7 @@
     visit(frame.placement.wait_limit);
     visit(frame.placement.is_idempotent);
     visit(frame.placement.rate_limit_milli);
+    visit(frame.placement.account);
   } else if constexpr (std::is_same_v<Type, Response>) {
     visit(frame.generation);
     visit(frame.stream);
--- a/tests/platform/deployment.cc
+++ b/tests/platform/deployment.cc
@@ -132,6 +132,7 @@
     host.timers = std::make_unique<timer::TimerService>([this] { return now_; });
     mesh::ControlServiceHooks hooks;
     hooks.clock = [this] { return now_; };
+    hooks.suspension_aware_clock = hooks.clock;
     hooks.random = base::SeededRandom(random());
     hooks.send = [this, name](const std::string& to, wire::Channel channel, std::string payload) {
       Send(name, to, channel, std::move(payload));
@@ -165,6 +166,7 @@
     host.timers = std::make_unique<timer::TimerService>([this] { return now_; });
     mesh::NodePresenceHooks hooks;
     hooks.clock = [this] { return now_; };
+    hooks.suspension_aware_clock = hooks.clock;
     hooks.send = [this, name](const std::string& to, std::string payload) {
       Send(name, to, wire::Channel::kMembership, std::move(payload));
     };
