HttpStream, Http: Reject answers whose status is none

An upstream in trouble answered with status 000, and a caller of another system got it as its answer. Here MessageParser took every status below 200 for an interim response and passed 600 to 999 on; the earlier path, whose client library accepts any three digits, passed 000 and 099 on as well. A status outside 200 to 599 that is no interim response is now malformed: the caller gets 502 or a retry, it counts as a failure of the upstream, and the connection is closed. What nodes pass on to each other is checked in the same way. A status line without a reason phrase stays valid.

--- a/libraries/http/upstream_client.cc
+++ b/libraries/http/upstream_client.cc
@@ -185,7 +185,9 @@
   if (!has_answer) {
     return client->has_begun() ? UpstreamFailure::kUnknown : UpstreamFailure::kNotSent;
   }
-  if (!IsWhole(request.method, response)) {
+  // cpp-httplib accepts any three digits.
+  const bool has_status = response.status > 0 && wire::IsFinalStatus(response.status);
+  if (!has_status || !IsWhole(request.method, response)) {
     return UpstreamFailure::kUnknown;
   }
   HttpResponse answer;
--- a/libraries/http_stream/message_parser.cc
+++ b/libraries/http_stream/message_parser.cc
@@ -10,6 +10,8 @@
 constexpr int kContinueParsing = 0;
 constexpr int kSkipBody = 1;
 constexpr int kAbort = -1;
+constexpr unsigned kFirstStatus = 100;
+constexpr unsigned kSwitchingProtocols = 101;
 constexpr unsigned kFirstFinalStatus = 200;
 // Interim responses before a final one; a peer that sends more does not come to an end.
 constexpr unsigned kMaxInterimResponses = 16;
@@ -111,6 +113,14 @@
   std::size_t bytes = target_.size();
   for (const wire::Header& field : fields_) {
     // http_parser accepts spaces and tabs in field names. Such a field is recognized by some HTTP
+  // Beside final responses there are interim ones, but no upgrade is ever asked for.
+  const bool is_interim = parser_.status_code >= kFirstStatus &&
+                          parser_.status_code < kFirstFinalStatus &&
+                          parser_.status_code != kSwitchingProtocols;
+  if (kind_ == MessageKind::kResponse && !is_interim && !wire::IsFinalStatus(parser_.status_code)) {
+    state_ = ParseState::kMalformed;
+    return kAbort;
+  }
     // implementations and ignored by others.
     if (field.name.find_first_of(" \t") != std::string::npos) {
       state_ = ParseState::kMalformed;
--- a/libraries/request_path/request_run.cc
+++ b/libraries/request_path/request_run.cc
@@ -221,6 +221,11 @@
   if (is_done_ || !attempt_ || number != sends_) {
     return;
   }
+  if (response.outcome == wire::Outcome::kRan && !wire::IsFinalStatus(response.status)) {
+    // The gate rejects such an answer of its upstream; this is for what arrives between nodes.
+    response.outcome = wire::Outcome::kUnknown;
+    response.reason = std::string(TextOf(Refusal::kUpstreamGarbled));
+  }
   const base::TimePoint now = entry_.hooks_.clock();
   if (is_overdue_) {
     const bool has_run = may_have_run_ || response.outcome != wire::Outcome::kNotRun;
--- a/libraries/wire/frame.h
+++ b/libraries/wire/frame.h
@@ -28,6 +28,9 @@
   kUnknown = 2,  // It may have run.
 };
 
+/** @return Whether @p status is one of a final HTTP response. */
+constexpr bool IsFinalStatus(unsigned status) { return status >= 200 && status <= 599; }
+
 /** First frame in both directions of a connection. */
 struct Hello {
   std::uint32_t protocol = kProtocolVersion;
--- a/tests/http/http_test.cc
+++ b/tests/http/http_test.cc
@@ -270,6 +270,17 @@
   }
 }
 
+// Guards against passing on a status that HTTP does not have: a caller once received one of 000.
+TEST(UpstreamClientTest, RefusesAStatusThatIsNone) {
+  for (const char* status : {"000", "099", "99", "1000", "600", "2x0", "abc", "101", "100"}) {
+    const RawUpstream upstream(std::string("HTTP/1.1 ") + status +
+                               " Oops\r\nContent-Length: 2\r\n\r\nok");
+    const UpstreamResult result = Execute(upstream.port());
+    ASSERT_TRUE(std::holds_alternative<UpstreamFailure>(result)) << status;
+    EXPECT_EQ(std::get<UpstreamFailure>(result), UpstreamFailure::kUnknown) << status;
+  }
+}
+
 TEST(UpstreamClientTest, AcceptsWholeAnswers) {
   for (const char* answer :
        {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole",
--- a/tests/http_stream/message_parser_test.cc
+++ b/tests/http_stream/message_parser_test.cc
@@ -119,6 +119,29 @@
   EXPECT_NE(FindField(response.fields, "a"), nullptr);
 }
 
+// Guards against answers with a status that HTTP does not have: a caller once received one of 000
+// as the answer to its request.
+TEST(MessageParserTest, AcceptsNoStatusThatIsNone) {
+  const std::string rest = "\r\nContent-Length: 2\r\n\r\nok";
+  for (const char* line : {"HTTP/1.1 000 Oops", "HTTP/1.1 099 Oops", "HTTP/1.1 99 Oops",
+                           "HTTP/1.1 1000 Oops", "HTTP/1.1 600 Oops", "HTTP/1.1 999 Oops",
+                           "HTTP/1.1 2x0 Oops", "HTTP/1.1 abc Oops", "HTTP/1.1 -200 Oops",
+                           "HTTP/1.1  Oops", "HTTP/1.1 101 Switching Protocols", "HTTP/1.1 000"}) {
+    MessageParser parser(MessageKind::kResponse, {});
+    parser.Feed(line + rest);
+    EXPECT_EQ(parser.state(), ParseState::kMalformed) << line;
+  }
+  for (const char* line : {"HTTP/1.1 200 OK", "HTTP/1.1 200", "HTTP/1.1 200 ", "HTTP/1.1 599 x"}) {
+    MessageParser parser(MessageKind::kResponse, {});
+    parser.Feed(line + rest);
+    EXPECT_EQ(parser.state(), ParseState::kComplete) << line;
+  }
+  MessageParser interim(MessageKind::kResponse, {});
+  interim.Feed("HTTP/1.1 102 Processing\r\n\r\n");
+  interim.FinishAtEnd();
+  EXPECT_EQ(interim.state(), ParseState::kMalformed) << "an interim response is no answer";
+}
+
 // Guards against waiting for a body after a response to HEAD, which may state a length but has
 // none.
 TEST(MessageParserTest, ResponseToHeadHasNoBody) {
