Declaration, Quota: Rank by account and route, and allow uneven arrivals

The priority of the account is now compared first and that of the route among equals, as dense ranks.

--- a/libraries/declaration/client_account.h
+++ b/libraries/declaration/client_account.h
@@ -27,7 +27,7 @@
   std::string name;
   /** Secrets: they must not reach logs, metrics or upstreams. */
   std::vector<std::string> keys;
-  /** Takes precedence over the priority of the route. */
+  /** Takes precedence over the priority of the route, which decides among equals. */
   std::optional<std::uint32_t> priority = std::nullopt;
   AccountQuota quota = {};
 };
--- a/libraries/declaration/route_table.cc
+++ b/libraries/declaration/route_table.cc
@@ -1,5 +1,6 @@
 #include "libraries/declaration/route_table.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace borageloft::declaration {
@@ -37,6 +38,24 @@
   return route_.targets[best].service;
 }
 
+PriorityRanks::PriorityRanks(const Declaration& declaration) {
+  for (const Route& route : declaration.routes) {
+    ordered_.emplace_back(route.priority, route.priority);
+    for (const ClientAccount& account : declaration.accounts) {
+      ordered_.emplace_back(account.priority.value_or(route.priority), route.priority);
+    }
+    std::sort(ordered_.begin(), ordered_.end());
+    ordered_.erase(std::unique(ordered_.begin(), ordered_.end()), ordered_.end());
+  }
+}
+
+std::uint32_t PriorityRanks::RankOf(std::optional<std::uint32_t> account,
+                                    std::uint32_t route) const {
+  const Priorities priorities(account.value_or(route), route);
+  const auto found = std::lower_bound(ordered_.begin(), ordered_.end(), priorities);
+  return static_cast<std::uint32_t>(found - ordered_.begin());
+}
+
 RouteTable::RouteTable(const Declaration& declaration, const base::Random& random) {
   for (const Route& route : declaration.routes) {
     hosts_[NormalizeHost(route.host)].emplace(route.path_prefix, RouteEntry(route, random));
--- a/libraries/declaration/route_table.h
+++ b/libraries/declaration/route_table.h
@@ -1,10 +1,13 @@
 #ifndef BORAGELOFT_DECLARATION_ROUTE_TABLE_H_
 #define BORAGELOFT_DECLARATION_ROUTE_TABLE_H_
 
+#include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "libraries/declaration/routes.h"
@@ -40,6 +43,23 @@
   double weight_sum_ = 0;
 };
 
+/**
+ * Ranks requests by the priority of their client account and, among equals, of their route. Ranks
+ * are dense: 0, 1, 2 and so on, the most important first.
+ */
+class PriorityRanks {
+ public:
+  explicit PriorityRanks(const Declaration& declaration);
+
+  /** @param account Priority of the account; nothing if it states none, or there is no account. */
+  std::uint32_t RankOf(std::optional<std::uint32_t> account, std::uint32_t route) const;
+
+ private:
+  using Priorities = std::pair<std::uint32_t, std::uint32_t>;  // Of the account, of the route.
+
+  std::vector<Priorities> ordered_;
+};
+
 /** Finds the route of a request by host and longest path prefix. Not thread-safe. */
 class RouteTable {
  public:
--- a/libraries/quota/quota_client.cc
+++ b/libraries/quota/quota_client.cc
@@ -21,7 +21,7 @@
 constexpr double kAheadSeconds = 0.35;
 constexpr double kRateSeconds = 1;
 // Share of the tolerance that the first tokens of all own shares may take together.
-constexpr double kOwnTokenShare = 0.25;
+constexpr double kOwnTokenShare = 0.1;
 // Time for which a token that was given back may be used.
 constexpr std::chrono::milliseconds kReturnedLifetime{250};
 constexpr std::size_t kMaxSent = 4096;
--- a/libraries/quota/quota_options.h
+++ b/libraries/quota/quota_options.h
@@ -22,12 +22,18 @@
     return overshoot * (quota.rate * std::chrono::duration<double>(window).count() + quota.burst) +
            slack;
   }
-};
 
-/** @return Requests that an account may make at once: at least one, or its quota allows none. */
-inline double BucketSize(const declaration::AccountQuota& quota) {
-  return std::max(1.0, quota.burst);
-}
+  /**
+   * @return Tokens that an account may save up: its burst, at least one, and half of the tolerance.
+   *     Requests come unevenly; without this, accounts with a small quota would be refused a part
+   * of what they may ask for in a window. The other half covers tokens that are granted ahead and
+   *     the nodes' own shares.
+   */
+  double BucketSize(const declaration::AccountQuota& quota) const {
+    constexpr double kBucketShare = 0.5;
+    return std::max(1.0, quota.burst) + kBucketShare * Tolerance(quota);
+  }
+};
 
 /** Time after its grant for which a token may be used. */
 inline constexpr std::chrono::milliseconds kTokenLifetime{500};
--- a/libraries/quota/quota_owner.cc
+++ b/libraries/quota/quota_owner.cc
@@ -13,7 +13,7 @@
 constexpr std::chrono::milliseconds kSilentSpendingTime =
     kOwnShareTime + std::chrono::milliseconds(1000);
 // Share of the tolerance that may be granted ahead within the lifetime of a token.
-constexpr double kAheadShare = 0.4;
+constexpr double kAheadShare = 0.2;
 // Tokens are granted ahead only from the part of a bucket above this share, so that requests which
 // wait at other nodes are served first.
 constexpr double kAheadReserve = 0.25;
@@ -50,10 +50,11 @@
       account = found->second;
       Refill(account, now);
     } else if (now - term_began_at_ >= kSilentSpendingTime) {
-      account.tokens = BucketSize(declared.quota);  // Nobody can have used a new account yet.
+      account.tokens =
+          options_.BucketSize(declared.quota);  // Nobody can have used a new account yet.
     }
     account.quota = declared.quota;
-    account.tokens = std::min(account.tokens, BucketSize(declared.quota));
+    account.tokens = std::min(account.tokens, options_.BucketSize(declared.quota));
     account.refilled_at = now;
   }
 }
@@ -80,7 +81,7 @@
 
 void QuotaOwner::Refill(Account& account, base::TimePoint now) const {
   const double elapsed = std::max(0.0, Seconds(now - account.refilled_at));
-  account.tokens = std::min(BucketSize(account.quota),
+  account.tokens = std::min(options_.BucketSize(account.quota),
                             account.tokens + elapsed * account.quota.rate * refill_share_);
   account.refilled_at = now;
 }
@@ -90,7 +91,7 @@
   // Halves within a lifetime, so at least half of every token that can still be used counts.
   account.granted_ahead *= std::exp2(-std::max(0.0, elapsed));
   account.ahead_at = now;
-  const double reserve = kAheadReserve * BucketSize(account.quota);
+  const double reserve = kAheadReserve * options_.BucketSize(account.quota);
   const double bound = kAheadShare * options_.Tolerance(account.quota);
   const double granted =
       std::floor(std::max(0.0, std::min({static_cast<double>(wanted), account.tokens - reserve,
@@ -139,7 +140,7 @@
       Account& account = found->second;
       Refill(account, now);
       RecordDemand(account, use.arrivals, now);
-      account.tokens = std::min(BucketSize(account.quota), account.tokens + use.returned);
+      account.tokens = std::min(options_.BucketSize(account.quota), account.tokens + use.returned);
       const double needed =
           std::min(static_cast<double>(use.wanted), std::floor(std::max(0.0, account.tokens)));
       account.tokens -= needed;
--- a/libraries/request_path/entry.cc
+++ b/libraries/request_path/entry.cc
@@ -76,6 +76,8 @@
   version_ = declaration.version;
   routes_ = std::make_unique<declaration::RouteTable>(declaration, hooks_.random);
   accounts_ = std::make_unique<declaration::AccountTable>(declaration.accounts);
+  ranks_ = declaration.accounts.empty() ? nullptr
+                                        : std::make_unique<declaration::PriorityRanks>(declaration);
 }
 
 CancelHook Entry::Handle(http_stream::RequestMessage message, base::TimePoint received,
@@ -131,10 +133,13 @@
   plan.due = std::min(plan.deadline, received + limit);
   plan.priority = plan.route.priority;
   plan.shed_key = base::Hash(plan.request_id);
+  if (ranks_ != nullptr) {
+    plan.priority =
+        ranks_->RankOf(account == nullptr ? std::nullopt : account->priority, plan.route.priority);
+  }
   if (account != nullptr) {
     plan.account = account->name;
     plan.shed_key = FairKeyOf(plan.account, plan.shed_key, received);
-    plan.priority = account->priority.value_or(plan.priority);
   }
   if (parent != nullptr) {
     plan.account = parent->account;
--- a/libraries/request_path/entry.h
+++ b/libraries/request_path/entry.h
@@ -167,6 +167,7 @@
   std::vector<std::uint64_t> calls_below_calls_;
   std::unique_ptr<declaration::RouteTable> routes_;
   std::unique_ptr<declaration::AccountTable> accounts_;
+  std::unique_ptr<declaration::PriorityRanks> ranks_;  // Only with accounts.
   admission::FairShare fair_share_;
   declaration::Version version_ = 0;
   bool is_taking_ = true;
