RequestPath: Find the pace of an upstream that has started or recovered

An upstream that returns while the others are overloaded was given all its slots at once; a fixed pause would leave it idle. RecoveryPace begins at a quarter of the slots after another process of the upstream or eight requests in a row without an answer, and grows or cuts the limit by how each window of answers compares with the fastest one of this start (docs/design/pace.md). The limit is part of the load report, so entries send elsewhere what does not fit. Waiting requests that cannot run at the new process are refused at once, also while no slot is free.

The fourth figure of the load header, how long work takes on the upstream's machine now, was read by nobody. The gate reports it for 300 ms, and entries scale the latency that they compare by it, with a half-life of 200 ms.

--- a/libraries/request_path/header_names.h
+++ b/libraries/request_path/header_names.h
@@ -20,7 +20,8 @@
   std::string seal = "";
   /** Service on the host that sent the request. */
   std::string caller_service = "Borageloft-Caller-Service";
-  /** Running requests, waiting requests and slots of the upstream. */
+  /** Running requests, waiting requests and slots of the upstream, separated by commas. A fourth
+   * figure, if there is one, states how long work takes on its machine in percent of the usual. */
   std::string upstream_load = "Borageloft-Upstream-Load";
   /** Requests per second, a decimal number, that the upstream takes from all nodes together for as
    * long as its answers name it. */
--- a/libraries/request_path/instance_chooser.cc
+++ b/libraries/request_path/instance_chooser.cc
@@ -16,6 +16,10 @@
 constexpr double kReportHalfLifeSeconds = 0.5;
 constexpr double kLatencyHalfLifeSeconds = 2;
 constexpr double kFailureHalfLifeSeconds = 3;
+// The stated work time of a machine changes many times a second.
+constexpr double kWorkTimeHalfLifeSeconds = 0.2;
+constexpr double kMinWorkTime = 0.5;
+constexpr double kMaxWorkTime = 4;
 // An instance with more than this share of its slots in use is no longer preferred for its zone.
 constexpr double kFullUtilization = 0.93;
 // Nor is an instance that fails a larger share of its attempts than this.
@@ -170,6 +174,8 @@
   if (member.record.warm_up_left_ms > 0) {
     latency_ms *= 1.5;  // A cold instance is slow, but needs requests to warm up.
   }
+  latency_ms *= 1 + (std::clamp(member.work_time, kMinWorkTime, kMaxWorkTime) - 1) *
+                        Decay(now - member.reported_at, kWorkTimeHalfLifeSeconds);
   const double utilization = UtilizationOf(member, now);
   const double load_factor =
       1 + 3 * utilization * utilization + (utilization > kFullUtilization ? 10 : 0);
@@ -259,6 +265,7 @@
     member->reported_utilization = static_cast<double>(load->in_flight) / load->limit;
     member->reported_at = now;
     member->told.rate_limit_milli = load->rate_limit_milli;
+    member->work_time = load->work_time_percent == 0 ? 1 : load->work_time_percent / 100.0;
     member->level = {load->level_rank, load->level_share};
     if (load->is_leaving && !member->told.leaving_since) {
       member->told.leaving_since = now;
--- a/libraries/request_path/instance_chooser.h
+++ b/libraries/request_path/instance_chooser.h
@@ -118,6 +118,7 @@
     double failure_rate = 0;  // Moving average share of attempts that failed or were refused.
     double reported_utilization = 0;  // Share of the slots in use as last reported by the gate.
     base::TimePoint reported_at{};
+    double work_time = 1;                       // Of the usual, as last reported by the gate.
     admission::AdmissionLevel level;            // As last reported by the gate.
     base::TimePoint latency_updated_at{};       // When `latency_ms` last changed.
     base::TimePoint failure_rate_updated_at{};  // When `failure_rate` last changed.
--- a/libraries/request_path/local_gate.cc
+++ b/libraries/request_path/local_gate.cc
@@ -15,6 +15,10 @@
 // Added to the due time of a request for each step of its priority number, so that it also waits
 // behind more important requests that are due by this much later.
 constexpr std::chrono::milliseconds kPriorityDelay{60};
+// Time for which a stated work time is reported: it changes many times a second.
+constexpr std::chrono::milliseconds kWorkTimeValidity{300};
+// Requests in a row without an answer after which the next answer is that of a recovered upstream.
+constexpr std::uint32_t kLostBeforeRecovery = 8;
 // Weight of one request in the moving average of the service time.
 constexpr double kServiceTimeWeight = 0.05;
 
@@ -142,6 +146,13 @@
   const directory::Incarnation current = instance_.incarnation();
   if (!directory::MayBeSame(current, incarnation_)) {
     rate_limit_.Reset();
+    work_time_percent_ = 0;
+    lost_in_a_row_ = 0;
+    // The first process that a gate sees has mostly been running for long.
+    const base::TimePoint now = clock_();
+    if (!incarnation_.instance.empty() || instance_.WarmUpLeft(now) > base::Duration::zero()) {
+      pace_.Begin(now);
+    }
   }
   incarnation_ = current;
 }
@@ -163,6 +174,10 @@
                {"running", static_cast<Json::UInt64>(running_)}});
   }
   rate_limit_.Learn(milli, now);
+  if (response.load.work_time_percent > 0) {
+    work_time_percent_ = response.load.work_time_percent;
+    work_time_at_ = now;
+  }
   if (response.load.is_leaving && !instance_.leaving_since()) {
     base::Log(base::LogLevel::kInfo, "instance_leaving_in_answer",
               {{"instance", incarnation_.instance}, {"request", tracked.request_id}});
@@ -186,7 +201,30 @@
 
 std::size_t LocalGate::Limit() const {
   const auto limit = static_cast<std::size_t>(options_.slot_share * instance_.slots());
-  return std::max<std::size_t>(1, limit);
+  return pace_.Limit(std::max<std::size_t>(1, limit), clock_());
+}
+
+std::uint32_t LocalGate::WorkTimePercent() const {
+  return clock_() - work_time_at_ < kWorkTimeValidity ? work_time_percent_ : 0;
+}
+
+void LocalGate::CheckRecovery(const TrackedRequest& tracked, const wire::Response& response,
+                              base::TimePoint now) {
+  switch (response.outcome) {
+    case wire::Outcome::kRan:
+      if (lost_in_a_row_ >= kLostBeforeRecovery) {
+        pace_.Begin(now);
+      }
+      lost_in_a_row_ = 0;
+      pace_.RecordAnswer(now - tracked.started, now);
+      return;
+    case wire::Outcome::kNotRun:
+      pace_.RecordRejection(now);
+      return;
+    case wire::Outcome::kUnknown:
+      ++lost_in_a_row_;
+      return;
+  }
 }
 
 base::Duration LocalGate::ExpectedWait(std::size_t ahead) const {
@@ -220,15 +258,19 @@
 }
 
 void LocalGate::StartNext() {
-  while (!waiting_.empty() && CanStart(clock_())) {
+  while (!waiting_.empty()) {
     const std::uint64_t id = waiting_.begin()->second;
-    waiting_.erase(waiting_.begin());
     const base::TimePoint now = clock_();
     const TrackedRequest& tracked = requests_.at(id);
     const Refusal refusal = tracked.deadline <= now ? Refusal::kDeadlinePassed
                             : !directory::MayBeSame(tracked.incarnation, instance_.incarnation())
                                 ? Refusal::kInstanceGone
                                 : FindRefusal(tracked.request, now);
+    // A request that cannot run here is refused even while no other one can start.
+    if (refusal == Refusal::kNone && !CanStart(now)) {
+      return;
+    }
+    waiting_.erase(waiting_.begin());
     if (refusal != Refusal::kNone) {
       Refuse(id, refusal);
     } else {
@@ -248,6 +290,7 @@
   ReleaseSlot(tracked, id);
   const base::TimePoint now = clock_();
   LearnFromAnswer(tracked, response, now);
+  CheckRecovery(tracked, response, now);
   if (response.outcome == wire::Outcome::kRan) {
     const double took = Milliseconds(now - tracked.started);
     slowness_.RecordEnd(tracked.placement.origin, now - tracked.started, now);
@@ -368,6 +411,7 @@
   load.service_time = FromMilliseconds(service_time_ms_);
   load.is_leaving = instance_.leaving_since().has_value();
   load.rate_limit_milli = rate_limit_.milli();
+  load.work_time_percent = WorkTimePercent();
   return load;
 }
 
--- a/libraries/request_path/local_gate.h
+++ b/libraries/request_path/local_gate.h
@@ -11,6 +11,7 @@
 #include "libraries/admission/admission.h"
 #include "libraries/directory/directory.h"
 #include "libraries/request_path/decision_log.h"
+#include "libraries/request_path/recovery_pace.h"
 #include "libraries/request_path/refusal.h"
 #include "libraries/request_path/slowness_tracker.h"
 #include "libraries/request_path/upstream_rate_limit.h"
@@ -144,6 +145,9 @@
   Refusal FindRefusal(const wire::Request& request, base::TimePoint now) const;
   Refusal FindOverload(const QueueKey& key, base::TimePoint now, base::TimePoint wait_until);
   std::size_t Limit() const;
+  std::uint32_t WorkTimePercent() const;
+  void CheckRecovery(const TrackedRequest& tracked, const wire::Response& response,
+                     base::TimePoint now);
   std::size_t ExpectedConcurrency() const;
   bool CanStart(base::TimePoint now);
   void LearnFromAnswer(const TrackedRequest& tracked, const wire::Response& response,
@@ -181,6 +185,10 @@
   std::uint64_t next_id_ = 1;
   double service_time_ms_ = 0;
   SlownessTracker slowness_;
+  RecoveryPace pace_;
+  std::uint32_t lost_in_a_row_ = 0;  // Requests without an answer since the last answer.
+  std::uint32_t work_time_percent_ = 0;
+  base::TimePoint work_time_at_{};
   timer::SubscriptionId sweep_;
   GateCounters counters_;
 };
--- a/libraries/request_path/request_path.h
+++ b/libraries/request_path/request_path.h
@@ -8,6 +8,7 @@
 #include "libraries/request_path/header_names.h"
 #include "libraries/request_path/instance_chooser.h"
 #include "libraries/request_path/local_gate.h"
+#include "libraries/request_path/recovery_pace.h"
 #include "libraries/request_path/refusal.h"
 #include "libraries/request_path/retry_budget.h"
 #include "libraries/request_path/root_position.h"
--- a/libraries/request_path/upstream_connection.cc
+++ b/libraries/request_path/upstream_connection.cc
@@ -20,6 +20,24 @@
 
 base::TimePoint Now() { return base::SystemClock()(); }
 
+// Returns the fourth figure of a load header, or nothing if there is none.
+std::optional<std::uint32_t> ParseWorkTimePercent(std::string_view text) {
+  constexpr int kFiguresBefore = 3;
+  for (int i = 0; i < kFiguresBefore; ++i) {
+    const std::size_t comma = text.find(',');
+    if (comma == std::string_view::npos) {
+      return std::nullopt;
+    }
+    text.remove_prefix(comma + 1);
+  }
+  text.remove_prefix(std::min(text.find_first_not_of(' '), text.size()));
+  std::uint32_t percent = 0;
+  const auto parsed = std::from_chars(text.data(), text.data() + text.size(), percent);
+  constexpr std::uint32_t kMaximumPercent = 100'000;
+  return parsed.ec == std::errc() ? std::optional(std::clamp(percent, 1U, kMaximumPercent))
+                                  : std::nullopt;
+}
+
 // Returns the rate in thousandths of a request per second, or nothing if @p text is no rate. A rate
 // of 0 becomes the lowest one that is distinct from no rate.
 std::optional<std::uint32_t> ParseRateMilli(const std::string& text) {
@@ -261,6 +279,7 @@
   response.outcome = is_not_run ? wire::Outcome::kNotRun : wire::Outcome::kRan;
   response.status = message.status;
   response.load.rate_limit_milli = ReadRateLimit(message.fields);
+  response.load.work_time_percent = ReadWorkTime(message.fields);
   const std::string* leaving = http_stream::FindField(message.fields, names.upstream_leaving);
   response.load.is_leaving = leaving != nullptr && *leaving == "1";
   http_stream::RemoveConnectionFields(message.fields);
@@ -269,6 +288,11 @@
   Finish(std::move(response));
 }
 
+std::uint32_t UpstreamConnection::ReadWorkTime(const http_stream::Fields& fields) const {
+  const std::string* text = http_stream::FindField(fields, pool_->names_.upstream_load);
+  return text == nullptr ? 0 : ParseWorkTimePercent(*text).value_or(0);
+}
+
 std::uint32_t UpstreamConnection::ReadRateLimit(const http_stream::Fields& fields) {
   const std::string* text = http_stream::FindField(fields, pool_->names_.upstream_rate_limit);
   if (text == nullptr) {
--- a/libraries/request_path/upstream_connection.h
+++ b/libraries/request_path/upstream_connection.h
@@ -56,6 +56,7 @@
   void Fail(wire::Outcome outcome, Refusal refusal);
   void Finish(wire::Response response);
   void UpdateIdleLimit(const http_stream::Fields& fields);
+  std::uint32_t ReadWorkTime(const http_stream::Fields& fields) const;
   std::uint32_t ReadRateLimit(const http_stream::Fields& fields);
   bool IsRefusalOfUnknownRequest(const http_stream::ResponseMessage& message) const;
   bool IsForOtherRequest(const http_stream::ResponseMessage& message) const;
--- a/libraries/wire/frame.h
+++ b/libraries/wire/frame.h
@@ -91,6 +91,9 @@
   bool is_leaving = false;
   /** Rate that the upstream names, in thousandths of a request per second; 0 if it names none. */
   std::uint32_t rate_limit_milli = 0;
+  /** How long work takes on the upstream's machine as its last answer says, in percent of the usual
+   * time; 0 if it says nothing, or said so too long ago. */
+  std::uint32_t work_time_percent = 0;
 
   friend bool operator==(const LoadReport&, const LoadReport&) = default;
 };
--- a/libraries/wire/frame_codec.cc
+++ b/libraries/wire/frame_codec.cc
@@ -183,6 +183,7 @@
     visit(frame.load.level_share);
     visit(frame.load.is_leaving);
     visit(frame.load.rate_limit_milli);
+    visit(frame.load.work_time_percent);
     visit(frame.unspent_allowance);
     visit(frame.retry_after);
   } else if constexpr (std::is_same_v<Type, Cancel>) {
