HttpStream, Mesh: Bound what callers outside the limits take of a node

Clients that are not under our control ended a process, which ran out of memory.

Causes: responses that callers had not read were not counted at all; of requests only bodies were, not heads and not the bytes that wait unparsed; freed bodies stayed with the process, because the allocator raises its threshold for mapped blocks after the first long one; a body without a stated length took up to twice its size. All of these count or are bounded now. When unread responses take too much, the connection that holds most for longest without progress is closed (ChooseSlowReader, code of its own); bodies and readers that stand still for the idle time end.

A body up to the declared limit is refused for lack of room with 503 instead of 413, since another node may have more.

Open: a body of 64 MiB on a machine of 160 MB (docs/design/client-limits.md).

--- a/libraries/http_stream/http_stream.h
+++ b/libraries/http_stream/http_stream.h
@@ -6,5 +6,6 @@
 #include "libraries/http_stream/message.h"
 #include "libraries/http_stream/message_parser.h"
 #include "libraries/http_stream/server.h"
+#include "libraries/http_stream/slow_reader_policy.h"
 
 #endif  // BORAGELOFT_HTTP_STREAM_HTTP_STREAM_H_
--- a/libraries/http_stream/message.cc
+++ b/libraries/http_stream/message.cc
@@ -77,6 +77,14 @@
   return found == fields.end() ? nullptr : &found->value;
 }
 
+std::size_t SizeOf(const Fields& fields) {
+  std::size_t size = 0;
+  for (const wire::Header& field : fields) {
+    size += field.name.size() + field.value.size();
+  }
+  return size;
+}
+
 void RemoveField(Fields& fields, std::string_view name) {
   std::erase_if(fields,
                 [&](const wire::Header& field) { return EqualsIgnoreCase(field.name, name); });
--- a/libraries/http_stream/message.h
+++ b/libraries/http_stream/message.h
@@ -15,6 +15,9 @@
 /** @return Value of the first field whose name is @p name, ignoring case, or null without one. */
 const std::string* FindField(const Fields& fields, std::string_view name);
 
+/** @return Size of all names and values in bytes. */
+std::size_t SizeOf(const Fields& fields);
+
 /** Removes every field whose name is @p name, ignoring case. */
 void RemoveField(Fields& fields, std::string_view name);
 
--- a/libraries/http_stream/message_parser.cc
+++ b/libraries/http_stream/message_parser.cc
@@ -56,6 +56,7 @@
         self.state_ = ParseState::kBodyTooLarge;
         return kAbort;
       }
+      self.GrowBody(size);
       self.body_.append(data, size);
       return kContinueParsing;
     };
@@ -105,14 +106,13 @@
          state_ == ParseState::kMalformed;
 }
 
-std::size_t MessageParser::body_bytes() const {
-  return state_ == ParseState::kBody ? std::max(stated_body_bytes_, body_.size()) : body_.size();
+std::size_t MessageParser::reserved_bytes() const {
+  const std::size_t body =
+      state_ == ParseState::kBody ? std::max(stated_body_bytes_, body_.size()) : body_.size();
+  return header_bytes_ + body;
 }
 
 int MessageParser::HandleHeadersComplete() {
-  std::size_t bytes = target_.size();
-  for (const wire::Header& field : fields_) {
-    // http_parser accepts spaces and tabs in field names. Such a field is recognized by some HTTP
   // Beside final responses there are interim ones, but no upgrade is ever asked for.
   const bool is_interim = parser_.status_code >= kFirstStatus &&
                           parser_.status_code < kFirstFinalStatus &&
@@ -121,6 +121,9 @@
     state_ = ParseState::kMalformed;
     return kAbort;
   }
+  std::size_t bytes = target_.size();
+  for (const wire::Header& field : fields_) {
+    // http_parser accepts spaces and tabs in field names. Such a field is recognized by some HTTP
     // implementations and ignored by others.
     if (field.name.find_first_of(" \t") != std::string::npos) {
       state_ = ParseState::kMalformed;
@@ -142,6 +145,7 @@
     state_ = ParseState::kBodyTooLarge;
     return kAbort;
   }
+  header_bytes_ = bytes;
   state_ = ParseState::kBody;
   if (kind_ == MessageKind::kRequest && has_length) {
     stated_body_bytes_ = static_cast<std::size_t>(parser_.content_length);
@@ -176,6 +180,14 @@
   return kContinueParsing;
 }
 
+// By default a string doubles, so that a body without a stated length may take twice its size.
+void MessageParser::GrowBody(std::size_t added) {
+  const std::size_t needed = body_.size() + added;
+  if (needed > body_.capacity()) {
+    body_.reserve(std::min(needed + needed / 4, std::max(needed, limits_.body_bytes)));
+  }
+}
+
 void MessageParser::AppendToHeader(std::string_view text, bool is_name) {
   if (state_ == ParseState::kBody) {
     return;  // Trailer fields are discarded.
--- a/libraries/http_stream/message_parser.h
+++ b/libraries/http_stream/message_parser.h
@@ -62,9 +62,9 @@
   bool has_failed() const;
   /** @return Bytes of the current message that are in memory. */
   std::size_t held_bytes() const { return header_bytes_ + body_.size(); }
-  /** @return Size that the body of the current message is known to reach: its stated length once
-   * the header is complete, or what has arrived of a body without one. */
-  std::size_t body_bytes() const;
+  /** @return Bytes that the current message is known to take: its header and the stated length of
+   * its body, or what has arrived of a body without one. */
+  std::size_t reserved_bytes() const;
   /** @return Whether the current request has the field `Expect: 100-continue`. */
   bool expects_continue() const { return expects_continue_; }
 
@@ -85,6 +85,7 @@
 
   int HandleHeadersComplete();
   int HandleMessageComplete();
+  void GrowBody(std::size_t added);
   void AppendToHeader(std::string_view text, bool is_name);
   void Reset();
 
--- a/libraries/http_stream/server.cc
+++ b/libraries/http_stream/server.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "libraries/http_stream/session.h"
+#include "libraries/http_stream/slow_reader_policy.h"
 
 namespace borageloft::http_stream {
 
@@ -19,6 +20,10 @@
 constexpr std::chrono::milliseconds kAcceptRetryDelay{100};
 // Connections that the kernel queues while the process is too busy to accept them.
 constexpr int kAcceptBacklog = 1024;
+// Sizes of the kernel's buffers of a connection: enough for 20 Mbit/s over the round trips of a
+// region, which is more than one caller of many needs.
+constexpr int kReceiveBufferBytes = 64 * 1024;
+constexpr int kSendBufferBytes = 128 * 1024;
 // Divisor for the part of the held bytes that is kept for short bodies.
 constexpr std::size_t kReservedShare = 8;
 
@@ -50,6 +55,10 @@
     const tcp::endpoint target(asio::ip::make_address(endpoint.address), endpoint.port);
     acceptor_.open(target.protocol());
     acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    // Connections inherit these. The buffers of the kernel count against the memory of the machine
+    // and would otherwise grow to several megabytes for each connection that is not read.
+    acceptor_.set_option(asio::socket_base::receive_buffer_size(kReceiveBufferBytes));
+    acceptor_.set_option(asio::socket_base::send_buffer_size(kSendBufferBytes));
     acceptor_.bind(target);
     acceptor_.listen(kAcceptBacklog);
   } catch (const std::system_error& error) {
@@ -75,9 +84,14 @@
       });
       return;
     }
-    if (sessions_.size() >= limits_.connections) {
+    asio::error_code ignored;
+    const std::string address = socket.remote_endpoint(ignored).address().to_string();
+    std::size_t& from_address = connections_by_address_[address];
+    if (sessions_.size() >= limits_.connections ||
+        from_address >= limits_.connections_per_address) {
       ++counters_.connections_refused;
     } else {
+      ++from_address;
       ++counters_.connections_opened;
       const std::uint64_t id = next_session_id_++;
       const auto session = std::make_shared<Session>(*this, id, std::move(socket));
@@ -88,11 +102,47 @@
   });
 }
 
-bool Server::HasRoom(std::size_t body_bytes, std::size_t held_before) const {
+bool Server::HasRoom(std::size_t request_bytes, std::size_t held_before) const {
   // Otherwise a few long bodies would keep out the short requests of all other callers.
   const std::size_t reserve =
-      body_bytes > ServerLimits::kSmallBodyBytes ? limits_.held_bytes / kReservedShare : 0;
-  return held_bytes_ - held_before + body_bytes <= limits_.held_bytes - reserve;
+      request_bytes > ServerLimits::kSmallRequestBytes ? limits_.held_bytes / kReservedShare : 0;
+  return held_bytes_ - held_before + request_bytes <= limits_.held_bytes - reserve;
+}
+
+void Server::LimitUnreadResponses() {
+  while (unread_bytes_ > limits_.held_bytes) {
+    std::vector<UnreadResponses> unread;
+    for (const auto& [id, session] : sessions_) {
+      if (session->unread_bytes() > 0) {
+        unread.push_back({id, session->unread_bytes(), session->progressed_at()});
+      }
+    }
+    const auto chosen = ChooseSlowReader(unread, base::SystemClock()());
+    if (!chosen) {
+      return;
+    }
+    const std::shared_ptr<Session> session = sessions_.at(*chosen);
+    ++counters_.closed_slow_readers;
+    LogClosing("responses not read", session->unread_bytes());
+    session->Close();
+  }
+}
+
+void Server::LogClosing(std::string_view reason, std::size_t bytes) {
+  constexpr std::chrono::seconds kLogInterval{1};
+  const base::TimePoint now = base::SystemClock()();
+  if (now - closing_logged_at_ < kLogInterval) {
+    ++closings_unlogged_;
+    return;
+  }
+  closing_logged_at_ = now;
+  base::Log(base::LogLevel::kWarning, "caller_connection_closed",
+            {{"reason", std::string(reason)},
+             {"bytes", static_cast<Json::UInt64>(bytes)},
+             {"held_bytes", static_cast<Json::UInt64>(held_bytes_)},
+             {"unread_bytes", static_cast<Json::UInt64>(unread_bytes_)},
+             {"connections", static_cast<Json::UInt64>(sessions_.size())},
+             {"not_logged", static_cast<Json::UInt64>(std::exchange(closings_unlogged_, 0))}});
 }
 
 std::size_t Server::unfinished_responses() const {
--- a/libraries/http_stream/server.h
+++ b/libraries/http_stream/server.h
@@ -5,6 +5,8 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
+#include <string_view>
 #include <unordered_map>
 
 #include "libraries/http_stream/message_parser.h"
@@ -52,19 +54,22 @@
   MessageLimits message;
   /** Time to wait for an incomplete request header; then the response is 408. */
   base::Duration header_timeout = std::chrono::seconds(5);
-  /** Time after which a connection without a request is closed. */
+  /** Time after which a connection is closed that has no request, whose caller has stopped in the
+   * middle of a body, or whose caller reads nothing of a response. */
   base::Duration idle_timeout = std::chrono::seconds(15);
   /** Maximum requests of one connection in progress; further ones stay unparsed meanwhile. */
   std::size_t pipeline_depth = 32;
   /**
-   * Maximum size of the request bodies held on all connections together, from their header until
-   * their response; a request beyond it is answered with 503. An eighth is kept for bodies of at
-   * most kSmallBodyBytes.
+   * Maximum size of the requests held on all connections together, from their first byte until
+   * their response; a request beyond it is answered with 503. An eighth is kept for requests of at
+   * most kSmallRequestBytes. The responses that callers have not read may take as much again.
    */
   std::size_t held_bytes = std::size_t{48} << 20U;
-  static constexpr std::size_t kSmallBodyBytes = std::size_t{64} << 10U;
+  static constexpr std::size_t kSmallRequestBytes = std::size_t{64} << 10U;
   /** Maximum open connections; further ones are closed as soon as they are accepted. */
   std::size_t connections = 3000;
+  /** Maximum open connections of one address. */
+  std::size_t connections_per_address = 3000;
 };
 
 /** Counters of a server, for metrics. */
@@ -74,6 +79,8 @@
   std::uint64_t requests = 0;
   std::uint64_t malformed = 0;
   std::uint64_t refused_for_bytes = 0;
+  std::uint64_t closed_slow_readers = 0;    ///< Their responses took too much memory or time.
+  std::uint64_t closed_stalled_bodies = 0;  ///< The caller stopped in the middle of a body.
   std::uint64_t abandoned = 0;
 };
 
@@ -114,8 +121,10 @@
   /** @return Number of connections on which a response is not yet written in full, or whose closing
    * the caller has not completed. */
   std::size_t unfinished_responses() const;
-  /** @return Size of the request bodies that count against the limit. */
+  /** @return Size of the requests that count against the limit. */
   std::size_t held_bytes() const { return held_bytes_; }
+  /** @return Size of the responses that callers have not read. */
+  std::size_t unread_bytes() const { return unread_bytes_; }
   std::size_t connection_count() const { return sessions_.size(); }
   const ServerCounters& counters() const { return counters_; }
 
@@ -123,8 +132,12 @@
   friend class Session;
 
   void Accept();
-  // Whether a body may grow from one size to another.
-  bool HasRoom(std::size_t body_bytes, std::size_t held_before) const;
+  // Whether a request may grow from one size to another.
+  bool HasRoom(std::size_t request_bytes, std::size_t held_before) const;
+  // Closes connections until the unread responses are within their limit.
+  void LimitUnreadResponses();
+  // Logs a connection that was closed to save memory or time, at most once a second.
+  void LogClosing(std::string_view reason, std::size_t bytes);
 
   asio::io_context& context_;
   ServerLimits limits_;
@@ -135,6 +148,10 @@
   std::uint64_t next_session_id_ = 1;
   std::size_t exchanges_in_progress_ = 0;
   std::size_t held_bytes_ = 0;
+  std::size_t unread_bytes_ = 0;
+  std::unordered_map<std::string, std::size_t> connections_by_address_;
+  base::TimePoint closing_logged_at_{};
+  std::size_t closings_unlogged_ = 0;
   bool is_draining_ = false;
   ServerCounters counters_;
 };
--- a/libraries/http_stream/session.cc
+++ b/libraries/http_stream/session.cc
@@ -59,11 +59,15 @@
     Read();  // Keeps the receive buffer empty: closing with unread bytes would send a reset.
     return;
   }
+  received_at_ = Now();
   input_.append(read_buffer_.data(), count);
   ParseInput();
   if (is_closed_) {
     return;
   }
+  if (!is_discarding_input_ && !ReserveInput()) {
+    RefuseForBytes();
+  }
   // While the pipeline is full, further requests stay in the input buffer. Reading continues until
   // the buffer is full, so that a disconnect by the caller is detected.
   if (input_.size() < kInputBufferBytes) {
@@ -81,7 +85,7 @@
       RejectRequest();
       return;
     }
-    if (!ReserveBody()) {
+    if (!ReserveRequest()) {
       RefuseForBytes();
       return;
     }
@@ -99,25 +103,51 @@
   }
 }
 
-bool Session::ReserveBody() {
-  const std::size_t body_bytes = parser_.body_bytes();
-  if (body_bytes <= body_bytes_) {
+bool Session::ReserveRequest() {
+  const std::size_t request_bytes = parser_.reserved_bytes();
+  if (request_bytes <= request_bytes_) {
     return true;
   }
-  if (!server_->HasRoom(body_bytes, body_bytes_)) {
+  if (!server_->HasRoom(request_bytes, request_bytes_)) {
+    return false;
+  }
+  server_->held_bytes_ += request_bytes - request_bytes_;
+  request_bytes_ = request_bytes;
+  return true;
+}
+
+bool Session::ReserveInput() {
+  if (input_.size() > input_bytes_ && !server_->HasRoom(input_.size(), input_bytes_)) {
     return false;
   }
-  server_->held_bytes_ += body_bytes - body_bytes_;
-  body_bytes_ = body_bytes;
+  server_->held_bytes_ += input_.size();
+  server_->held_bytes_ -= input_bytes_;
+  input_bytes_ = input_.size();
   return true;
 }
 
-void Session::ReleaseBody(std::size_t& body_bytes) {
+void Session::ReleaseRequest(std::size_t& request_bytes) {
   if (server_ != nullptr) {
-    VERIFY(server_->held_bytes_ >= body_bytes);
-    server_->held_bytes_ -= body_bytes;
+    VERIFY(server_->held_bytes_ >= request_bytes);
+    server_->held_bytes_ -= request_bytes;
+  }
+  request_bytes = 0;
+}
+
+void Session::CountUnread(std::size_t bytes) {
+  if (unread_bytes_ == 0) {
+    progressed_at_ = Now();
+  }
+  unread_bytes_ += bytes;
+  server_->unread_bytes_ += bytes;
+}
+
+void Session::ReleaseUnread(std::size_t bytes) {
+  VERIFY(unread_bytes_ >= bytes);
+  unread_bytes_ -= bytes;
+  if (server_ != nullptr) {
+    server_->unread_bytes_ -= bytes;
   }
-  body_bytes = 0;
 }
 
 void Session::ContinueIfExpected() {
@@ -139,7 +169,7 @@
   PendingRequest pending;
   pending.number = next_number_++;
   pending.body_use = request.method == "HEAD" ? BodyUse::kOmit : BodyUse::kWrite;
-  pending.body_bytes = std::exchange(body_bytes_, 0);
+  pending.request_bytes = std::exchange(request_bytes_, 0);
   pending.closes_connection = !request.keeps_alive;
   is_discarding_input_ = !request.keeps_alive;
   const std::uint64_t number = pending.number;
@@ -167,7 +197,7 @@
 void Session::RefuseForBytes() {
   ++server_->counters_.refused_for_bytes;
   base::Log(base::LogLevel::kWarning, "request_refused_for_bytes",
-            {{"body_bytes", static_cast<Json::UInt64>(parser_.body_bytes())},
+            {{"request_bytes", static_cast<Json::UInt64>(parser_.reserved_bytes())},
              {"held_bytes", static_cast<Json::UInt64>(server_->held_bytes_)}});
   ResponseMessage response;
   response.status = kServiceUnavailable;
@@ -177,10 +207,11 @@
 
 // Answers the request that is being read and closes the connection after the answer.
 void Session::RefuseInput(ResponseMessage response) {
-  ReleaseBody(body_bytes_);
+  ReleaseRequest(request_bytes_);
+  ReleaseRequest(input_bytes_);
   parser_.Discard();
   is_discarding_input_ = true;
-  input_.clear();
+  input_ = {};
   PendingRequest pending;
   pending.number = next_number_++;
   pending.closes_connection = true;
@@ -197,7 +228,11 @@
   }
   pending->response = std::move(response);
   pending->on_abandoned = nullptr;
-  ReleaseBody(pending->body_bytes);
+  pending->response_bytes = pending->response->body.size() + SizeOf(pending->response->fields);
+  ReleaseRequest(pending->request_bytes);
+  CountUnread(pending->response_bytes);
+  const auto self = shared_from_this();
+  server_->LimitUnreadResponses();
   FlushResponses();
 }
 
@@ -230,6 +265,7 @@
     output_ += SerializeResponse(*pending.response,
                                  closes_connection ? Persistence::kClose : Persistence::kKeepAlive,
                                  pending.body_use);
+    output_counted_ += pending.response_bytes;
     closes_after_write_ = closes_connection;
     is_discarding_input_ = is_discarding_input_ || closes_connection;
     has_responses = true;
@@ -240,6 +276,9 @@
   Write();
   if (!is_closed_ && !is_discarding_input_) {
     ParseInput();
+    if (!is_closed_) {
+      ReserveInput();  // There is less of it now.
+    }
     if (!is_closed_ && pipeline_.empty()) {
       ContinueIfExpected();
       RestartTimer();
@@ -254,22 +293,36 @@
   }
   is_writing_ = true;
   write_buffer_ = std::exchange(output_, {});
-  asio::async_write(socket_, asio::buffer(write_buffer_),
-                    [self = shared_from_this()](const asio::error_code& error, std::size_t) {
-                      self->is_writing_ = false;
-                      if (self->is_closed_) {
-                        return;
-                      }
-                      if (error) {
-                        self->Close();
-                        return;
-                      }
-                      self->FinishWriting();
-                    });
+  writing_counted_ = std::exchange(output_counted_, 0);
+  written_ = 0;
+  WriteSome();
+}
+
+void Session::WriteSome() {
+  socket_.async_write_some(
+      asio::buffer(write_buffer_.data() + written_, write_buffer_.size() - written_),
+      [self = shared_from_this()](const asio::error_code& error, std::size_t count) {
+        if (self->is_closed_) {
+          return;
+        }
+        if (error) {
+          self->Close();
+          return;
+        }
+        self->written_ += count;
+        self->progressed_at_ = Now();
+        if (self->written_ < self->write_buffer_.size()) {
+          self->WriteSome();
+        } else {
+          self->is_writing_ = false;
+          self->FinishWriting();
+        }
+      });
 }
 
 void Session::FinishWriting() {
-  write_buffer_.clear();
+  write_buffer_ = {};
+  ReleaseUnread(std::exchange(writing_counted_, 0));
   if (!output_.empty()) {
     Write();
   } else if (closes_after_write_) {
@@ -299,12 +352,19 @@
     if (error || self->is_closed_ || !self->pipeline_.empty()) {
       return;
     }
-    if (is_idle && self->parser_.state() == ParseState::kIdle) {
-      if (!self->is_writing_) {
-        self->closes_after_write_ = true;
-        self->is_discarding_input_ = true;
-        self->Linger();
+    const base::Duration patience = self->server_->limits_.idle_timeout;
+    if (self->is_writing_) {
+      if (Now() - self->progressed_at_ < patience) {
+        self->RestartTimer();
+        return;
       }
+      ++self->server_->counters_.closed_slow_readers;
+      self->server_->LogClosing("response not read in time", self->unread_bytes_);
+      self->Close();
+    } else if (is_idle && self->parser_.state() == ParseState::kIdle) {
+      self->closes_after_write_ = true;
+      self->is_discarding_input_ = true;
+      self->Linger();
     } else if (self->parser_.state() == ParseState::kHeader) {
       ResponseMessage response;
       response.status = kRequestTimeout;
@@ -313,16 +373,30 @@
       self->closes_after_write_ = true;
       self->Write();
     } else if (self->parser_.state() == ParseState::kBody) {
-      self->RestartTimer();
+      if (Now() - self->received_at_ < patience) {
+        self->RestartTimer();
+      } else {
+        self->RefuseStalledBody();
+      }
     }
   });
 }
 
+void Session::RefuseStalledBody() {
+  ++server_->counters_.closed_stalled_bodies;
+  server_->LogClosing("body not sent in time", request_bytes_);
+  ResponseMessage response;
+  response.status = kRequestTimeout;
+  RefuseInput(std::move(response));
+}
+
 void Session::AbandonAll() {
   std::deque<PendingRequest> pipeline = std::exchange(pipeline_, {});
-  ReleaseBody(body_bytes_);
+  ReleaseRequest(request_bytes_);
+  ReleaseRequest(input_bytes_);
+  ReleaseUnread(unread_bytes_);
   for (PendingRequest& pending : pipeline) {
-    ReleaseBody(pending.body_bytes);
+    ReleaseRequest(pending.request_bytes);
     if (server_ != nullptr) {
       --server_->exchanges_in_progress_;
       server_->counters_.abandoned += pending.response ? 0 : 1;
@@ -343,7 +417,16 @@
   timer_.cancel();
   socket_.close(ignored);
   AbandonAll();
+  // Operations that are still under way keep this object alive for a while.
+  write_buffer_ = {};
+  output_ = {};
+  input_ = {};
+  parser_.Discard();
   if (server_ != nullptr) {
+    const auto from_address = server_->connections_by_address_.find(peer_address_);
+    if (from_address != server_->connections_by_address_.end() && --from_address->second == 0) {
+      server_->connections_by_address_.erase(from_address);
+    }
     server_->sessions_.erase(id_);
   }
 }
--- a/libraries/http_stream/session.h
+++ b/libraries/http_stream/session.h
@@ -22,6 +22,10 @@
   void NotifyAbandoned(std::uint64_t number, std::function<void()> callback);
   /** @return Whether a response is not yet written in full, or the closing after it goes on. */
   bool has_unfinished_response() const { return is_writing_ || !output_.empty() || is_lingering_; }
+  /** @return Size of the responses that the caller has not read. */
+  std::size_t unread_bytes() const { return unread_bytes_; }
+  /** @return When bytes of a response were last written, or when the first one was given. */
+  base::TimePoint progressed_at() const { return progressed_at_; }
   /** Closes the connection immediately; its unanswered requests are abandoned. */
   void Close();
   /** Closes the connection and drops the pointer to the server, which is stopping. */
@@ -31,7 +35,8 @@
   struct PendingRequest {
     std::uint64_t number = 0;
     BodyUse body_use = BodyUse::kWrite;
-    std::size_t body_bytes = 0;  // Counted at the server until there is a response.
+    std::size_t request_bytes = 0;   // Counted at the server until there is a response.
+    std::size_t response_bytes = 0;  // Counted at the server until it is written.
     bool closes_connection = false;
     std::optional<ResponseMessage> response;
     std::function<void()> on_abandoned;
@@ -42,14 +47,20 @@
   void ParseInput();
   void HandleRequest();
   void ContinueIfExpected();
-  // Counts the body that is being read. Returns false if the server has no room for it.
-  bool ReserveBody();
-  void ReleaseBody(std::size_t& body_bytes);
+  // Counts the request that is being read. Returns false if the server has no room for it.
+  bool ReserveRequest();
+  // Counts the bytes that wait unparsed. Returns false if the server has no room for them.
+  bool ReserveInput();
+  void ReleaseRequest(std::size_t& request_bytes);
+  void CountUnread(std::size_t bytes);
+  void ReleaseUnread(std::size_t bytes);
+  void RefuseStalledBody();
   void RejectRequest();
   void RefuseForBytes();
   void RefuseInput(ResponseMessage response);
   void FlushResponses();
   void Write();
+  void WriteSome();
   void FinishWriting();
   void Linger();
   void RestartTimer();
@@ -73,7 +84,14 @@
   std::uint64_t next_number_ = 1;
   std::string output_;
   std::string write_buffer_;
-  std::size_t body_bytes_ = 0;  // Of the request being read, as counted at the server.
+  std::size_t written_ = 0;          // Of the write buffer.
+  std::size_t output_counted_ = 0;   // Of the responses in `output_`, as counted at the server.
+  std::size_t writing_counted_ = 0;  // Of the responses in the write buffer.
+  std::size_t unread_bytes_ = 0;     // Of all responses that are not written.
+  base::TimePoint progressed_at_{};
+  base::TimePoint received_at_{};  // When bytes last arrived.
+  std::size_t request_bytes_ = 0;  // Of the request being read, as counted at the server.
+  std::size_t input_bytes_ = 0;    // That wait unparsed, as counted at the server.
   bool has_continued_ = false;  // The caller of the request being read was told to send its body.
   bool is_reading_ = false;
   bool is_writing_ = false;
--- a/libraries/mesh/mesh_node.cc
+++ b/libraries/mesh/mesh_node.cc
@@ -210,6 +210,7 @@
 
   http_stream::ServerLimits limits;
   limits.connections = settings.connections;
+  limits.connections_per_address = settings.connections_per_address;
   limits.held_bytes = held_bytes_;
   caller_server_ = std::make_unique<http_stream::Server>(
       loop_.context(), limits,
@@ -344,11 +345,12 @@
   quotas_->SetAccounts(declaration.accounts);
   http_stream::ServerLimits limits;
   limits.connections = loop_.settings().connections;
+  limits.connections_per_address = loop_.settings().connections_per_address;
   limits.held_bytes = held_bytes_;
   const declaration::CallerLimits& declared = declaration.limits;
   limits.message.header_bytes = declared.header_bytes.value_or(limits.message.header_bytes);
-  limits.message.body_bytes =
-      std::min(limits.message.body_bytes, declared.body_bytes.value_or(limits.message.body_bytes));
+  // A body that this node cannot hold is refused as not run: another node may have more room.
+  limits.message.body_bytes = declared.body_bytes.value_or(limits.message.body_bytes);
   limits.header_timeout = declared.header_timeout.value_or(limits.header_timeout);
   limits.idle_timeout = declared.idle_timeout.value_or(limits.idle_timeout);
   caller_server_->set_limits(limits);
@@ -445,8 +447,19 @@
   text.Add("borageloft_upstream_rate_limit",
            "Requests per second that the upstream names, in 1/1000",
            gate_->Load().rate_limit_milli);
-  text.Add("borageloft_request_bytes_held", "Size of the callers' request bodies held",
+  text.Add("borageloft_request_bytes_held", "Size of the callers' requests held",
            caller_server_->held_bytes());
+  text.Add("borageloft_response_bytes_unread", "Size of the responses that callers have not read",
+           caller_server_->unread_bytes());
+  text.Add("borageloft_closed_slow_readers_total",
+           "Connections closed because their responses were not read",
+           caller_server_->counters().closed_slow_readers);
+  text.Add("borageloft_closed_stalled_bodies_total",
+           "Connections closed because their caller stopped in the middle of a body",
+           caller_server_->counters().closed_stalled_bodies);
+  text.Add("borageloft_caller_connections_refused_total",
+           "Connections refused because there were too many",
+           caller_server_->counters().connections_refused);
   text.Add("borageloft_refused_for_bytes_total", "Requests refused because of the bytes held",
            caller_server_->counters().refused_for_bytes);
   text.Add("borageloft_caller_connections", "Open connections of callers",
--- a/libraries/mesh/mesh_settings.cc
+++ b/libraries/mesh/mesh_settings.cc
@@ -161,6 +161,8 @@
         parser.Time("drain_time", settings_.drain_time, seconds(1), seconds(600));
     settings_.connections = static_cast<std::size_t>(parser.Integer(
         "connections", static_cast<std::int64_t>(settings_.connections), 16, 60'000));
+    settings_.connections_per_address = static_cast<std::size_t>(parser.Integer(
+        "connections_per_address", static_cast<std::int64_t>(settings_.connections), 1, 60'000));
     if (parser.Has("held_megabytes")) {
       settings_.held_megabytes = static_cast<std::size_t>(
           parser.Integer("held_megabytes", kMaximumDefaultHeldMegabytes, 1, 4096));
--- a/libraries/mesh/mesh_settings.h
+++ b/libraries/mesh/mesh_settings.h
@@ -47,7 +47,9 @@
   request_path::RetryBudgetOptions retries;
   base::Duration drain_time = std::chrono::seconds(6);
   std::size_t connections = 3000;
-  // For request bodies of callers, and as much for those at the gate and for incomplete answers.
+  std::size_t connections_per_address = 3000;
+  // For requests of callers, and as much for those at the gate, for incomplete answers and for
+  // responses that callers have not read.
   std::optional<std::size_t> held_megabytes;
   std::string log_level = "info";
 
--- a/libraries/mesh/peer_address.cc
+++ b/libraries/mesh/peer_address.cc
@@ -12,8 +12,9 @@
 // new attempt reaches a host that is back sooner. The timeout is above two round trips between
 // regions.
 constexpr std::chrono::milliseconds kPeerConnectTimeout{300};
-constexpr std::size_t kMaximumFrameBytes = std::size_t{12} << 20U;
-constexpr std::size_t kMaximumQueueBytes = std::size_t{24} << 20U;
+// Above the size of the requests that a node may hold by default.
+constexpr std::size_t kMaximumFrameBytes = std::size_t{36} << 20U;
+constexpr std::size_t kMaximumQueueBytes = std::size_t{40} << 20U;
 
 }  // namespace
 
--- a/libraries/request_path/entry.cc
+++ b/libraries/request_path/entry.cc
@@ -121,7 +121,8 @@
     }
     plan.deadline = received + *stated;
   }
-  if (held_bytes_ + message.body.size() > options_.held_bytes) {
+  if (held_bytes_ + message.body.size() + http_stream::SizeOf(message.fields) >
+      options_.held_bytes) {
     Refuse(message, Refusal::kTooManyBytes, answer);
     return {};
   }
--- a/libraries/request_path/entry.h
+++ b/libraries/request_path/entry.h
@@ -37,7 +37,7 @@
   RetryBudgetOptions budget;
   /** Time limit of a request where the caller states no timeout or the route has none. */
   base::Duration default_deadline = std::chrono::seconds(10);
-  /** Maximum bytes of request bodies in memory; a request beyond that is refused. */
+  /** Maximum bytes of requests in memory; a request beyond that is refused. */
   std::size_t held_bytes = std::size_t{48} << 20U;
 };
 
--- a/libraries/request_path/local_gate.cc
+++ b/libraries/request_path/local_gate.cc
@@ -26,6 +26,10 @@
   return std::chrono::duration<double, std::milli>(duration).count();
 }
 
+std::size_t SizeOf(const wire::Request& request) {
+  return request.body.size() + http_stream::SizeOf(request.headers);
+}
+
 admission::ClassRank RankOf(const wire::Placement& placement) { return placement.priority + 1; }
 
 base::Duration FromMilliseconds(double milliseconds) {
@@ -54,7 +58,7 @@
   const std::uint64_t id = next_id_++;
   Refusal refusal = FindRefusal(request, now);
   CheckIncarnation();
-  if (refusal == Refusal::kNone && held_bytes_ + request.body.size() > options_.held_bytes) {
+  if (refusal == Refusal::kNone && held_bytes_ + SizeOf(request) > options_.held_bytes) {
     refusal = Refusal::kTooManyBytes;
   }
   if (refusal == Refusal::kNone) {
@@ -85,8 +89,8 @@
   tracked.request = std::move(request);
   tracked.handler = std::move(handler);
   const QueueKey queue_key = tracked.queue_key;
-  tracked.body_bytes = tracked.request.body.size();
-  held_bytes_ += tracked.body_bytes;
+  tracked.held_bytes = SizeOf(tracked.request);
+  held_bytes_ += tracked.held_bytes;
   requests_.emplace(id, std::move(tracked));
   if (has_room) {
     Start(id);
@@ -127,7 +131,7 @@
     std::unordered_map<std::uint64_t, TrackedRequest>::iterator found) {
   TrackedRequest tracked = std::move(found->second);
   requests_.erase(found);
-  held_bytes_ -= tracked.body_bytes;
+  held_bytes_ -= tracked.held_bytes;
   return tracked;
 }
 
--- a/libraries/request_path/local_gate.h
+++ b/libraries/request_path/local_gate.h
@@ -10,6 +10,7 @@
 
 #include "libraries/admission/admission.h"
 #include "libraries/directory/directory.h"
+#include "libraries/http_stream/http_stream.h"
 #include "libraries/request_path/decision_log.h"
 #include "libraries/request_path/recovery_pace.h"
 #include "libraries/request_path/refusal.h"
@@ -52,7 +53,7 @@
   base::Duration target_delay = std::chrono::milliseconds(4);
   /** Time between updates of the admission level. */
   base::Duration control_interval = std::chrono::milliseconds(50);
-  /** Maximum size of the bodies of all waiting and running requests. */
+  /** Maximum size of all waiting and running requests. */
   std::size_t held_bytes = std::size_t{48} << 20U;
 };
 
@@ -138,7 +139,7 @@
     directory::Incarnation incarnation;
     std::string request_id;
     wire::Placement placement;
-    std::size_t body_bytes = 0;
+    std::size_t held_bytes = 0;
   };
 
   base::Duration WaitLimit(const wire::Request& request) const;
--- a/libraries/request_path/request_run.h
+++ b/libraries/request_path/request_run.h
@@ -40,8 +40,10 @@
   /** Ends the run without an answer because the caller has disconnected. */
   void Abandon();
 
-  /** @return Size of the request body in bytes. */
-  std::size_t held_bytes() const { return plan_.message.body.size(); }
+  /** @return Size of the request in bytes. */
+  std::size_t held_bytes() const {
+    return plan_.message.body.size() + http_stream::SizeOf(plan_.message.fields);
+  }
 
  private:
   struct Attempt {
--- a/services/borageloftd/main.cc
+++ b/services/borageloftd/main.cc
@@ -1,5 +1,6 @@
 #include <fcntl.h>
 #include <fmt/format.h>
+#include <malloc.h>
 #include <unistd.h>
 
 #include <CLI/CLI.hpp>
@@ -64,12 +65,21 @@
       [&](const borageloft::mesh::MeshSettings& settings) { process.HandleSettings(settings); });
 }
 
+// By default the allocator raises these thresholds after large blocks were freed and then keeps
+// freed memory. Bodies come and go, so the process would grow to several times of what it holds.
+void ReturnFreedMemory() {
+  constexpr int kThresholdBytes = 256 * 1024;
+  mallopt(M_MMAP_THRESHOLD, kThresholdBytes);
+  mallopt(M_TRIM_THRESHOLD, 2 * kThresholdBytes);
+}
+
 int RunMesh(const std::string& file, bool is_check) {
   const borageloft::mesh::MeshSettings settings = borageloft::mesh::LoadMeshSettings(file);
   if (is_check) {
     fmt::print("{}: valid settings of {}\n", file, settings.name);
     return 0;
   }
+  ReturnFreedMemory();
   borageloft::base::SetLogLevel(ParseLevel(settings.log_level));
   fcntl(STDOUT_FILENO, F_SETFL, fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
   borageloft::base::ReplaceLogSink(WriteLine);
