--- a/libraries/quota/quota_client.cc
+++ b/libraries/quota/quota_client.cc
@@ -55,7 +55,7 @@
   // Accounts that have no limit any more.
   for (auto& [name, account] : known) {
     for (Waiter& waiter : account.waiters) {
-      Finish(std::move(waiter), {QuotaOutcome::kUnknown, {}});
+      Finish(waiter, {QuotaOutcome::kUnknown, {}});
     }
   }
 }
@@ -74,13 +74,13 @@
   waiter.since = now;
   waiter.done = std::move(done);
   if (account.waiters.empty() && TakeToken(account, now)) {
-    Finish(std::move(waiter), {QuotaOutcome::kAdmitted, {}});
+    Finish(waiter, {QuotaOutcome::kAdmitted, {}});
     return;
   }
   if (IsOwnerSilent(now)) {
     const bool is_admitted = TakeOwnToken(account, now);
     counters_.own_share += is_admitted ? 1 : 0;
-    Finish(std::move(waiter), {is_admitted ? QuotaOutcome::kAdmitted : QuotaOutcome::kUnknown, {}});
+    Finish(waiter, {is_admitted ? QuotaOutcome::kAdmitted : QuotaOutcome::kUnknown, {}});
     return;
   }
   account.waiters.push_back(std::move(waiter));
@@ -256,7 +256,7 @@
     account.waiters.pop_front();
   }
   for (auto& [waiter, verdict] : decided) {
-    Finish(std::move(waiter), verdict);
+    Finish(waiter, verdict);
   }
 }
 
@@ -274,14 +274,14 @@
   }
   for (auto& [waiter, verdict] : decided) {
     counters_.own_share += verdict.outcome == QuotaOutcome::kAdmitted ? 1 : 0;
-    Finish(std::move(waiter), verdict);
+    Finish(waiter, verdict);
   }
   if (!accounts_.empty() && now - used_at_ < kIdleTime) {
     AskAhead(now);
   }
 }
 
-void QuotaClient::Finish(Waiter waiter, const QuotaVerdict& verdict) {
+void QuotaClient::Finish(const Waiter& waiter, const QuotaVerdict& verdict) {
   switch (verdict.outcome) {
     case QuotaOutcome::kAdmitted:
       ++counters_.admitted;
--- a/libraries/quota/quota_client.h
+++ b/libraries/quota/quota_client.h
@@ -132,7 +132,7 @@
   std::uint32_t AheadOf(const Account& account, base::TimePoint now) const;
   void HandleGrant(const directory::QuotaGrant& grant, const Sent& sent, base::TimePoint now);
   void Send(std::vector<directory::QuotaUse> uses, bool is_for_waiter, base::TimePoint now);
-  void Finish(Waiter waiter, const QuotaVerdict& verdict);
+  void Finish(const Waiter& waiter, const QuotaVerdict& verdict);
   bool IsOwnerSilent(base::TimePoint now) const;
 
   const std::string node_;
--- a/tests/client_limits/client_crowd.cc
+++ b/tests/client_limits/client_crowd.cc
@@ -176,9 +176,8 @@
           // Spread over time, so that the nodes receive each of them whole.
           const auto delay = milliseconds(is_long ? 5 * (++long_answers_ % 400) : 0);
           const auto timer = std::make_shared<asio::steady_timer>(context_, delay);
-          timer->async_wait([timer, exchange, response](const asio::error_code&) {
-            exchange.Respond(response);
-          });
+          timer->async_wait(
+              [timer, exchange, response](const asio::error_code&) { exchange.Respond(response); });
         }));
     upstreams_.back()->Listen({address, kUpstream});
     Announce(address, service);
--- a/tests/platform/deployment.cc
+++ b/tests/platform/deployment.cc
@@ -108,6 +108,7 @@
         "service = {1}\nheartbeat_interval = {2}ms\n",
         ip, kService, kHeartbeatInterval.count());
   }
+  text += "[accounts]\nrevocation_time = 5s\n";
   text += fmt::format("[control]\nseeds = {}\n", fmt::join(seeds, ","));
   if (state.is_control) {
     text += fmt::format("first_start = {}\ntolerated_losses = 2\ndata_folder = /data\n",
@@ -438,7 +439,7 @@
   }
   const mesh::StartupState state = host.presence->startup_state();
   return {host.presence->version(), state.has_instance && state.has_recalled_departures,
-          state.instances};
+          state.instances, host.presence->AreKeysFresh()};
 }
 
 std::vector<std::string> Deployment::control_hosts() const {
--- a/tests/platform/deployment.h
+++ b/tests/platform/deployment.h
@@ -30,6 +30,7 @@
     declaration::Version version = 0;
     bool has_upstream = false;
     std::size_t instances = 0;
+    bool are_keys_fresh = false;
   };
 
   Deployment(std::uint64_t seed, std::size_t nodes);
--- a/tests/platform/operators.cc
+++ b/tests/platform/operators.cc
@@ -17,6 +17,7 @@
 constexpr std::chrono::milliseconds kInForceWithin{2000};
 constexpr std::chrono::milliseconds kStabilityWindow{3000};
 constexpr std::chrono::milliseconds kMaximumStretch{5000};
+constexpr std::chrono::milliseconds kRevokedWithin{5000};
 // An operator gives up on an order without a clear answer after so many attempts.
 constexpr int kMaximumAttempts = 12;
 
@@ -46,8 +47,9 @@
 std::string Operators::Text(declaration::Version version, const std::vector<Route>& routes) const {
   std::string text = fmt::format(
       R"({{"version":"r{}","services":[{{"name":"parts","health_path":"/health"}},{{"name":"other"}}],)"
-      R"("limits":{{"max_header_bytes":16384,"idle_timeout_ms":15000}},"hosts":[)",
-      version);
+      R"("limits":{{"max_header_bytes":16384,"idle_timeout_ms":15000}},)"
+      R"("tenants":[{{"name":"a","api_keys":["key-of-{}"],"rate_per_s":10,"burst":10}}],"hosts":[)",
+      version, version);
   const char* separator = "";
   for (const Route& route : routes) {
     text += fmt::format(
@@ -287,7 +289,8 @@
       seen_.erase(node);
       continue;
     }
-    const declaration::Version version = deployment_.ViewOf(node).version;
+    const Deployment::NodeView view = deployment_.ViewOf(node);
+    const declaration::Version version = view.version;
     EXPECT_GE(version, seen_[node]) << node << " went back to an older version";
     seen_[node] = version;
     EXPECT_TRUE(MayBeInForce(version)) << node << " uses version " << version;
@@ -295,9 +298,15 @@
     // stability window, and an unstable core stretches the bound.
     const base::TimePoint disturbed = std::max(disturbed_until_, node_disturbed_until_[node]);
     for (const auto& [acknowledged, at] : acknowledged_) {
+      // Each version withdraws the key of the one before. This holds on any machine, in touch or
+      // not.
+      if (version > 0 && view.are_keys_fresh && now - at > kRevokedWithin) {
+        EXPECT_GE(version, acknowledged) << node << " accepts a key that was withdrawn";
+      }
       if (now - disturbed > kStabilityWindow + kInForceWithin &&
           now - at > kInForceWithin + kMaximumStretch) {
         EXPECT_GE(version, acknowledged) << node << " has not put an acknowledged version in force";
+        EXPECT_TRUE(view.are_keys_fresh) << node << " accepts no keys";
       } else if (now - disturbed > kStabilityWindow + (now - at) && now - at > kInForceWithin) {
         EXPECT_GE(version, acknowledged) << node << " is late with an acknowledged version";
       }
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -36,6 +36,30 @@
   EXPECT_EQ(declaration.limits.idle_timeout, std::chrono::seconds(15));
 }
 
+// Guards against accounts that are read past, and against downloads that are never retried.
+TEST(ConfigurationCodecTest, ReadsClientAccounts) {
+  std::string text = kConfiguration;
+  text.replace(text.find("\"unsafe\""), 8, "\"download\",\"public\":true");
+  text.insert(text.find("\"hosts\""),
+              R"("tenants":[{"name":"t","api_keys":["k1","k2"],"priority":1,"rate_per_s":2.5,)"
+              R"("burst":7},{"name":"u","api_keys":[]}],)");
+  const declaration::Declaration declaration = DecodeConfiguration(text);
+  ASSERT_EQ(declaration.accounts.size(), 2U);
+  EXPECT_EQ(declaration.accounts[0].keys, (std::vector<std::string>{"k1", "k2"}));
+  EXPECT_EQ(declaration.accounts[0].priority, 1U);
+  EXPECT_EQ(declaration.accounts[0].quota, (declaration::AccountQuota{2.5, 7}));
+  EXPECT_FALSE(declaration.accounts[1].quota.is_limited());
+  EXPECT_TRUE(declaration.routes[1].is_public);
+  EXPECT_EQ(declaration.routes[1].repetition, declaration::Repetition::kIdempotent);
+  for (const char* wrong : {R"("tenants":{},)", R"("tenants":[{"name":"t"}],)",
+                            R"("tenants":[{"name":"t","api_keys":[1]}],)",
+                            R"("tenants":[{"name":"t","api_keys":[],"burst":"x"}],)"}) {
+    std::string broken = kConfiguration;
+    broken.insert(broken.find("\"hosts\""), wrong);
+    EXPECT_THROW(DecodeConfiguration(broken), declaration::DeclarationError) << wrong;
+  }
+}
+
 // Guards against accepting a truncated configuration.
 TEST(ConfigurationCodecTest, RefusesTruncatedText) {
   const std::string text = kConfiguration;
