Quota, ControlService: Begin a term with the election and wait for the next owner

It now waits up to 400 ms, and is asked for again with the next report. A refusal after that is still early enough for the caller to come back.

--- a/libraries/mesh/control_service.cc
+++ b/libraries/mesh/control_service.cc
@@ -123,6 +123,7 @@
 }
 
 void ControlService::PublishChanges(base::TimePoint now) {
+  BeginQuotaTerm();
   directory_.Expire(now);
   if (directory_.has_changes()) {
     SendToControlHosts(directory_.TakeChanges());
@@ -221,18 +222,24 @@
   if (!age || *age > kMaximumOwnerAge) {
     return;
   }
+  BeginQuotaTerm();
   const base::TimePoint now = hooks_.suspension_aware_clock();
-  if (quota_term_ != status.replica_host.soft_state.term) {
-    quota_term_ = status.replica_host.soft_state.term;
-    quotas_.BeginTerm(now);
-    base::Log(base::LogLevel::kInfo, "quota_term_began",
-              {{"term", static_cast<Json::UInt64>(quota_term_)}});
-  }
   UpdateQuotas(now);
   hooks_.send(request.node, wire::Channel::kMembership,
               directory::Encode(quotas_.Handle(request, now)));
 }
 
+// The term begins when this host is elected, not with the first request: the longer it lasts, the
+// less of the quotas can have been spent without its knowledge.
+void ControlService::BeginQuotaTerm() {
+  const consensus::Term term = member_.status().replica_host.soft_state.term;
+  if (!IsLeader() || term == quota_term_) {
+    return;
+  }
+  quota_term_ = term;
+  quotas_.BeginTerm(hooks_.suspension_aware_clock());
+}
+
 void ControlService::UpdateQuotas(base::TimePoint now) {
   const declaration::DeclarationRegister& applied = member_.applied();
   if (quota_version_ == applied.version()) {
--- a/libraries/mesh/control_service.h
+++ b/libraries/mesh/control_service.h
@@ -71,6 +71,7 @@
  private:
   void HandleSync(const std::string& from, const directory::SyncRequest& request);
   void HandleQuotaRequest(const std::string& from, const directory::QuotaRequest& request);
+  void BeginQuotaTerm();
   void UpdateQuotas(base::TimePoint now);
   void HandleDeparture(const directory::DepartureRequest& request);
   FreshnessHooks MakeFreshnessHooks();
--- a/libraries/quota/quota_client.cc
+++ b/libraries/quota/quota_client.cc
@@ -9,9 +9,12 @@
 
 namespace {
 
-// Time for which a request waits for the owner. It covers several round trips between zones;
-// callers of short requests have no more time to lose.
+// Time without an answer after which the owner is taken to be lost: several round trips between
+// zones.
 constexpr std::chrono::milliseconds kAnswerTimeout{200};
+// Time for which a request waits for a token. An election takes about as long; callers of short
+// requests have no more time to lose.
+constexpr std::chrono::milliseconds kMaxWait{400};
 // Time between two reports while limited accounts are in use, well below the time after which the
 // owner takes the node to be cut off.
 constexpr std::chrono::milliseconds kReportInterval{300};
@@ -77,10 +80,10 @@
     Finish(waiter, {QuotaOutcome::kAdmitted, {}});
     return;
   }
-  if (IsOwnerSilent(now)) {
-    const bool is_admitted = TakeOwnToken(account, now);
-    counters_.own_share += is_admitted ? 1 : 0;
-    Finish(waiter, {is_admitted ? QuotaOutcome::kAdmitted : QuotaOutcome::kUnknown, {}});
+  // Without a token of its own share the request waits: an owner may be elected meanwhile.
+  if (IsOwnerSilent(now) && TakeOwnToken(account, now)) {
+    ++counters_.own_share;
+    Finish(waiter, {QuotaOutcome::kAdmitted, {}});
     return;
   }
   account.waiters.push_back(std::move(waiter));
@@ -183,7 +186,11 @@
   std::vector<directory::QuotaUse> uses;
   for (auto& [name, account] : accounts_) {
     directory::QuotaUse use = TakeReport(name, account, now);
-    if (use.ahead + use.arrivals + use.returned > 0) {
+    // What requests have waited for this long was asked of an owner that is lost.
+    use.wanted = static_cast<std::uint32_t>(
+        std::count_if(account.waiters.begin(), account.waiters.end(),
+                      [&](const Waiter& waiter) { return now - waiter.since >= kAnswerTimeout; }));
+    if (use.wanted + use.ahead + use.arrivals + use.returned > 0) {
       uses.push_back(std::move(use));
     }
   }
@@ -266,6 +273,9 @@
   for (auto& [name, account] : accounts_) {
     while (!account.waiters.empty() && now - account.waiters.front().since >= kAnswerTimeout) {
       const bool is_admitted = TakeToken(account, now) || TakeOwnToken(account, now);
+      if (!is_admitted && now - account.waiters.front().since < kMaxWait) {
+        break;
+      }
       decided.emplace_back(
           std::move(account.waiters.front()),
           QuotaVerdict{is_admitted ? QuotaOutcome::kAdmitted : QuotaOutcome::kUnknown, {}});
