FreshnessKeeper: Ask for the age as soon as a node needs it

Nodes with a revocation time ask from their start, and the first question of a node is followed by one to the leader at once.

--- a/libraries/mesh/freshness_keeper.cc
+++ b/libraries/mesh/freshness_keeper.cc
@@ -16,9 +16,18 @@
 
 }  // namespace
 
+void FreshnessKeeper::RecordInterest() {
+  const base::TimePoint now = hooks_.clock();
+  const bool had_interest = HasInterest(now);
+  asked_at_ = now;
+  if (!had_interest) {
+    Poll();
+  }
+}
+
 void FreshnessKeeper::Poll() {
   const base::TimePoint now = hooks_.clock();
-  if (!asked_at_ || now - *asked_at_ > kInterestTime) {
+  if (!HasInterest(now)) {
     return;
   }
   if (!hooks_.is_leader()) {
--- a/libraries/mesh/freshness_keeper.h
+++ b/libraries/mesh/freshness_keeper.h
@@ -40,8 +40,8 @@
  public:
   explicit FreshnessKeeper(FreshnessHooks hooks) : hooks_(std::move(hooks)) {}
 
-  /** Records that a node asks for the age. */
-  void RecordInterest() { asked_at_ = hooks_.clock(); }
+  /** Records that a node asks for the age. Sends a question at once if nobody had asked lately. */
+  void RecordInterest();
 
   /** Sends the next question; must be called every kPollInterval. */
   void Poll();
@@ -61,6 +61,9 @@
   // Nodes ask every 300 ms as long as they need the age.
   static constexpr std::chrono::seconds kInterestTime{2};
 
+  bool HasInterest(base::TimePoint now) const {
+    return asked_at_ && now - *asked_at_ <= kInterestTime;
+  }
   void Confirm(base::TimePoint sent_at, declaration::Version version);
 
   FreshnessHooks hooks_;
--- a/libraries/mesh/node_presence.cc
+++ b/libraries/mesh/node_presence.cc
@@ -59,7 +59,10 @@
                        hooks_.send(host, bytes);
                      }
                    }}),
-      startup_report_(hooks_.clock()) {}
+      startup_report_(hooks_.clock()) {
+  // A declaration with accounts may be the first one.
+  sync_.set_needs_age(revocation_time_.has_value());
+}
 
 NodePresence::~NodePresence() {
   if (poll_subscription_) {
--- a/tests/mesh/freshness_keeper_test.cc
+++ b/tests/mesh/freshness_keeper_test.cc
@@ -27,6 +27,7 @@
     hooks.applied_version = [this] { return applied_; };
     keeper_ = std::make_unique<FreshnessKeeper>(std::move(hooks));
     keeper_->RecordInterest();
+    sent_.clear();  // The question that follows at once.
   }
 
   base::TimePoint now_{seconds(100)};
@@ -76,7 +77,8 @@
   keeper_->Poll();
   EXPECT_TRUE(sent_.empty());
   keeper_->RecordInterest();
-  keeper_->Poll();
+  EXPECT_EQ(sent_.size(), 1U) << "a node that has just started must not wait for the next poll";
+  keeper_->RecordInterest();
   EXPECT_EQ(sent_.size(), 1U);
 }
 
