--- a/libraries/declaration/declaration.h
+++ b/libraries/declaration/declaration.h
@@ -8,6 +8,7 @@
 #include "libraries/declaration/client_account.h"
 #include "libraries/declaration/declaration_changes.h"
 #include "libraries/declaration/declaration_register.h"
+#include "libraries/declaration/declaration_review.h"
 #include "libraries/declaration/route_table.h"
 #include "libraries/declaration/routes.h"
 
--- a/utilities/borageloft/commands.h
+++ b/utilities/borageloft/commands.h
@@ -14,6 +14,7 @@
 void AddTraceCommand(CLI::App& application, int& exit_code);
 void AddStandInCommand(CLI::App& application, int& exit_code);
 void AddLoadCommand(CLI::App& application, int& exit_code);
+void AddCheckCommand(CLI::App& application, int& exit_code);
 
 }  // namespace borageloft::command_line
 
--- a/utilities/borageloft/main.cc
+++ b/utilities/borageloft/main.cc
@@ -39,6 +39,7 @@
   borageloft::command_line::AddTraceCommand(application, exit_code);
   borageloft::command_line::AddStandInCommand(application, exit_code);
   borageloft::command_line::AddLoadCommand(application, exit_code);
+  borageloft::command_line::AddCheckCommand(application, exit_code);
   try {
     application.parse(argument_count, arguments);
   } catch (const CLI::ParseError& error) {
