LocalGate: Pace a recovered upstream only where the settings ask for it

The cause is the load: cold upstreams there are slower by the same factor at any load, so that fewer requests leave slots idle while the other instances are full. upstream.recovery_pace switches it on; the default is off.

--- a/libraries/mesh/mesh_node.cc
+++ b/libraries/mesh/mesh_node.cc
@@ -91,6 +91,7 @@
       [this] { presence_->instance().Suspect(); });
   request_path::LocalGateOptions gate_options;
   gate_options.held_bytes = held_bytes_;
+  gate_options.uses_recovery_pace = settings.uses_recovery_pace;
   gate_ = std::make_unique<request_path::LocalGate>(
       gate_options, presence_->instance(), clock_, loop_.timers(),
       [this](wire::Request request, base::TimePoint deadline,
--- a/libraries/mesh/mesh_settings.cc
+++ b/libraries/mesh/mesh_settings.cc
@@ -101,6 +101,7 @@
     settings_.service = parser.RequiredName("service");
     settings_.heartbeat_interval = parser.Time("heartbeat_interval", settings_.heartbeat_interval,
                                                milliseconds(50), seconds(60));
+    settings_.uses_recovery_pace = parser.YesNo("recovery_pace", false);
     parser.RefuseUnknownKeys();
   }
 
--- a/libraries/mesh/mesh_settings.h
+++ b/libraries/mesh/mesh_settings.h
@@ -32,6 +32,8 @@
   settings::Endpoint upstream;
   std::string service;
   base::Duration heartbeat_interval = std::chrono::milliseconds(1500);
+  /** Whether the upstream is given its slots step by step after a start or a recovery. */
+  bool uses_recovery_pace = false;
 
   std::vector<settings::Endpoint> seeds;  ///< `calls` addresses of some control hosts.
   bool is_first_start = false;
--- a/libraries/request_path/local_gate.cc
+++ b/libraries/request_path/local_gate.cc
@@ -155,12 +155,18 @@
     // The first process that a gate sees has mostly been running for long.
     const base::TimePoint now = clock_();
     if (!incarnation_.instance.empty() || instance_.WarmUpLeft(now) > base::Duration::zero()) {
-      pace_.Begin(now);
+      BeginRecovery(now);
     }
   }
   incarnation_ = current;
 }
 
+void LocalGate::BeginRecovery(base::TimePoint now) {
+  if (options_.uses_recovery_pace) {
+    pace_.Begin(now);
+  }
+}
+
 void LocalGate::LearnFromAnswer(const TrackedRequest& tracked, const wire::Response& response,
                                 base::TimePoint now) {
   CheckIncarnation();
@@ -217,7 +223,7 @@
   switch (response.outcome) {
     case wire::Outcome::kRan:
       if (lost_in_a_row_ >= kLostBeforeRecovery) {
-        pace_.Begin(now);
+        BeginRecovery(now);
       }
       lost_in_a_row_ = 0;
       pace_.RecordAnswer(now - tracked.started, now);
--- a/libraries/request_path/local_gate.h
+++ b/libraries/request_path/local_gate.h
@@ -53,6 +53,8 @@
   base::Duration target_delay = std::chrono::milliseconds(4);
   /** Time between updates of the admission level. */
   base::Duration control_interval = std::chrono::milliseconds(50);
+  /** Whether an upstream that has just started or recovered is given its slots step by step. */
+  bool uses_recovery_pace = false;
   /** Maximum size of all waiting and running requests. */
   std::size_t held_bytes = std::size_t{48} << 20U;
 };
@@ -154,6 +156,7 @@
   void LearnFromAnswer(const TrackedRequest& tracked, const wire::Response& response,
                        base::TimePoint now);
   void CheckIncarnation();
+  void BeginRecovery(base::TimePoint now);
   base::Duration OldestWait(base::TimePoint now) const;
   void ReleaseSlot(const TrackedRequest& tracked, std::uint64_t id);
   base::Duration ExpectedWait(std::size_t ahead) const;
--- a/tests/request_path/local_gate_test.cc
+++ b/tests/request_path/local_gate_test.cc
@@ -30,6 +30,7 @@
     gate_.reset();
     LocalGateOptions options;
     options.slot_share = 1;
+    options.uses_recovery_pace = uses_recovery_pace_;
     gate_ = std::make_unique<LocalGate>(
         options, instance_, [this] { return now_; }, timers_,
         [this](wire::Request request, base::TimePoint, ResponseHandler handler) -> CancelHook {
@@ -85,6 +86,7 @@
   directory::LocalInstance instance_{"parts", seconds(60)};
   DecisionLog log_{[this] { return now_; }};
   std::deque<Running> running_;
+  bool uses_recovery_pace_ = false;
   std::unique_ptr<LocalGate> gate_;
 };
 
@@ -252,6 +254,26 @@
   EXPECT_EQ(gate_->running(), 1U);
 }
 
+// Guards against giving a replaced upstream all its slots at once where the settings ask for a
+// pace, and against limiting one that was there before the gate.
+TEST_F(LocalGateTest, PacesAReplacedUpstream) {
+  uses_recovery_pace_ = true;
+  StartGate();
+  instance_.HandleHeartbeat({"i-1", "parts", 10, 2, directory::InstanceState::kServing, 8, {}},
+                            now_);
+  for (int i = 0; i < 8; ++i) {
+    Submit("a" + std::to_string(i));
+  }
+  EXPECT_EQ(gate_->running(), 8U);
+  instance_.HandleHeartbeat({"i-2", "parts", 90, 1, directory::InstanceState::kServing, 8, {}},
+                            now_);
+  EXPECT_EQ(gate_->Load().limit, 8U) << "before the next request";
+  Submit("b");
+  EXPECT_EQ(gate_->Load().limit, 2U);
+  Advance(std::chrono::duration_cast<milliseconds>(RecoveryPace::kMaxTime));
+  EXPECT_EQ(gate_->Load().limit, 8U);
+}
+
 // Guards against running a request at another instance than the one that it was sent to.
 TEST_F(LocalGateTest, RefusesForAnotherInstance) {
   Submit("a");
