ControlService: Bear messages that are for nodes

A message that is for nodes and comes from another control host was taken for records: std::get threw an exception that the handler does not translate. The kind of a message is now checked first, and every other one is refused and logged. Found by reading; nodes ignore what is not for them.

ControlServiceTest.BearsEveryKindOfMessage sends each kind from another control host and from a node: it fails without the change and passes with it.

--- a/libraries/mesh/control_service.cc
+++ b/libraries/mesh/control_service.cc
@@ -161,12 +161,13 @@
       freshness_.HandleRequest(from, *question);
     } else if (const auto* freshness = std::get_if<directory::FreshnessAnswer>(&message)) {
       freshness_.HandleAnswer(*freshness);
-    } else if (std::holds_alternative<directory::DepartureAnswer>(message)) {
-      throw directory::DirectoryError("departures are for nodes");
-    } else if (OtherControlHosts().contains(from)) {
-      directory_.Receive(from, std::get<directory::SyncAnswer>(message), hooks_.clock());
+    } else if (const auto* records = std::get_if<directory::SyncAnswer>(&message)) {
+      if (!OtherControlHosts().contains(from)) {
+        throw directory::DirectoryError("records from a node that is no control host");
+      }
+      directory_.Receive(from, *records, hooks_.clock());
     } else {
-      throw directory::DirectoryError("records from a node that is no control host");
+      throw directory::DirectoryError("a message that is for nodes");
     }
   } catch (const directory::DirectoryError& error) {
     base::Log(base::LogLevel::kWarning, "directory_message_refused",
