--- a/libraries/request_path/entry.cc
+++ b/libraries/request_path/entry.cc
@@ -196,7 +196,7 @@
   if (key == nullptr && is_call) {
     return Refusal::kOrphanedCall;
   }
-  // A node with outdated keys may not know a key that was added, nor miss one that was withdrawn.
+  // A key may have been withdrawn, and an unknown one added, since the node last heard.
   if (hooks_.are_keys_fresh && !hooks_.are_keys_fresh()) {
     return Refusal::kKeysOutdated;
   }
