--- a/review/stand_ins_2/case_slow_reader.cc
+++ b/review/stand_ins_2/case_slow_reader.cc
@@ -17,17 +17,19 @@
 constexpr Milliseconds kBetweenQuestions{1000};
 
 bool Run(Record& record) {
-  Deployment deployment({}, {"archivo", "liberacao"}, record);
-  Machine& stopped = deployment.sidecars()[0];
-  BackEnd back_end(deployment.BackEndOn(deployment.sidecars()[1], "i-liberacao-1"), record,
-                   [](const Message&) {
-                     return Reply{200, {}, std::string(kAnswerBytes, 'a'), Milliseconds(20)};
-                   });
-  BackEnd other(deployment.BackEndOn(stopped, "i-archivo-1"), record,
+  Deployment deployment({}, {"painel", "archivo", "liberacao"}, record);
+  std::vector<Machine>& sidecars = deployment.sidecars();
+  Machine& stopped = sidecars[0];
+  const auto answer_at_length = [](const Message&) {
+    return Reply{200, {}, std::string(kAnswerBytes, 'a'), Milliseconds(20)};
+  };
+  BackEnd panel(deployment.BackEndOn(stopped, "i-painel-1"), record,
                 [](const Message&) { return Reply{}; });
-  const std::string text = ConfigurationText(
-      "r1", {"archivo", "liberacao"},
-      {{"/history/", "archivo"}, {"/release/", "liberacao", "unsafe", kDeadline}});
+  BackEnd archive(deployment.BackEndOn(sidecars[1], "i-archivo-1"), record, answer_at_length);
+  BackEnd releases(deployment.BackEndOn(sidecars[2], "i-liberacao-1"), record, answer_at_length);
+  const std::string text = ConfigurationText("r1", {"painel", "archivo", "liberacao"},
+                                             {{"/history/", "archivo", "safe", kDeadline},
+                                              {"/release/", "liberacao", "unsafe", kDeadline}});
   if (deployment.Put("r0", text) != 200) {
     throw CannotRun("the first configuration was refused");
   }
@@ -36,15 +38,17 @@
 
   std::atomic<int> whole{0};
   std::atomic<int> cut{0};
-  const auto release = [&] {
+  const auto send = [&](bool is_release) {
     const std::string id = NextRequestId();
     const Clock::time_point sent = Clock::now();
     Connection connection(stopped.address, Deployment::kOutboundPort, kReceiveBufferBytes);
     record.Write("client sends " + id);
-    connection.Send(RequestText("POST", "/release/lot-1", id, kDeadline));
+    connection.Send(is_release ? RequestText("POST", "/release/lot-1", id, kDeadline)
+                               : RequestText("GET", "/history/charge-1", id, kDeadline));
     const Message answer = connection.Receive(kDeadline, kReadBytesPerSecond);
     const auto took = std::chrono::duration_cast<Milliseconds>(Clock::now() - sent);
-    const bool is_lost = !answer.is_complete && took < kDeadline && back_end.RunsOf(id) > 0;
+    const bool is_lost =
+        !answer.is_complete && took < kDeadline && archive.RunsOf(id) + releases.RunsOf(id) > 0;
     record.Write("client of " + id + ": " +
                  (answer.start_line.empty() ? "no answer" : answer.start_line) + ", " +
                  std::to_string(answer.body.size()) + " bytes, " +
@@ -66,7 +70,7 @@
   int misses = 0;
   std::vector<std::thread> clients;
   while (misses < 2 && Clock::now() < stop + std::chrono::seconds(3)) {
-    clients.emplace_back(release);
+    clients.emplace_back(send, clients.size() % 2 == 0);
     std::this_thread::sleep_for(kBetweenRequests);
     if (Clock::now() >= next_question) {
       next_question += kBetweenQuestions;
