Review: Keep a case's watchdog from ending it early

Cause: the wait for a signal may return before its time; one run ended with 2 without a word. Change: the wait goes on until a signal comes or the time is over, and says why it ends a case.

--- a/review/stand_ins_2/deployment.cc
+++ b/review/stand_ins_2/deployment.cc
@@ -499,7 +499,7 @@
   values["heartbeat_interval_ms"] = "1500";
   values["tolerate.machines"] = "2";
   values["bootstrap"] = has_started_[name] ? "false" : "true";
-  values["bounds.grace_s"] = std::to_string(bounds_.grace_s);
+  values["bounds.grace_s"] = bounds_.grace_s;
   values["bounds.retry_budget_ratio"] = "0.2";
   values["bounds.budget_min_retries"] = "50";
   values["bounds.budget_window_s"] = "10";
@@ -677,7 +677,7 @@
 
 namespace {
 
-constexpr timespec kLongestRun{110, 0};
+constexpr std::chrono::seconds kLongestRun{110};
 
 }  // namespace
 
@@ -692,7 +692,13 @@
   sigaddset(&ends, SIGINT);
   pthread_sigmask(SIG_BLOCK, &ends, nullptr);
   std::thread([ends] {
-    sigtimedwait(&ends, nullptr, &kLongestRun);
+    const Clock::time_point latest = Clock::now() + kLongestRun;
+    constexpr timespec kStep{1, 0};
+    int signal = -1;
+    while (signal < 0 && Clock::now() < latest) {
+      signal = sigtimedwait(&ends, nullptr, &kStep);
+    }
+    std::cerr << "the case is ended " << (signal < 0 ? "for its time" : "by a signal") << "\n";
     Started().KillAll();
     _exit(kCouldNotRun);
   }).detach();
--- a/review/stand_ins_2/deployment.h
+++ b/review/stand_ins_2/deployment.h
@@ -172,7 +172,7 @@
 /** Bounds of the deployment, as the pages name them; written into the templates of the settings. */
 struct Bounds {
   int drain_ms = 2000;
-  int grace_s = 6;
+  std::string grace_s = "6";  ///< As it is written into the settings.
   int config_ms = 2000;
   std::optional<int> revoke_ms;  ///< Set where strict_revoke is true.
 };
