--- a/review/6/run.sh
+++ b/review/7/run.sh
@@ -5,10 +5,10 @@
 set -u
 folder="$(cd "$(dirname "$0")" && pwd)"
 cd "$folder/../.." || exit 2
-for program in target/review-2/case_slow_reader target/services/borageloftd/borageloftd; do
+for program in target/review-2/case_left_back_end target/services/borageloftd/borageloftd; do
   if [ ! -x "$program" ]; then
     echo "$program is not built" >&2
     exit 2
   fi
 done
-exec target/review-2/case_slow_reader "$folder/record.txt"
+exec target/review-2/case_left_back_end "$folder/record.txt"
