Review: Shorten the answers of the slow readers, keep times in chrono types

Cause: answers of 2.3 MB are further from the sites' than the case needs; bounds were plain numbers. Change: pairs of safe and unsafe requests, 0.25 s apart, with answers of 1.3 MB; Bounds holds durations.

--- a/review/stand_ins_2/case_last_tenant.cc
+++ b/review/stand_ins_2/case_last_tenant.cc
@@ -10,7 +10,7 @@
 
 bool Run(Record& record) {
   Bounds bounds;
-  bounds.revoke_ms = 5000;
+  bounds.revoke = Milliseconds(5000);
   Deployment deployment(bounds, {"catalog-front", "claims-ledger"}, record);
   std::vector<Machine>& sidecars = deployment.sidecars();
   const auto handler = [&record](const Message& request) {
@@ -57,7 +57,7 @@
   if (deployment.Put("r1", next) != 200) {
     throw CannotRun("the second configuration was refused");
   }
-  std::this_thread::sleep_for(Milliseconds(*bounds.revoke_ms) + std::chrono::seconds(1));
+  std::this_thread::sleep_for(*bounds.revoke + std::chrono::seconds(1));
   for (int i = 0; i < kRequests; ++i) {
     claim("key-1");
     std::this_thread::sleep_for(Milliseconds(50));
@@ -68,7 +68,7 @@
                " request ran with a key that no configuration ever held");
   record.Write(std::to_string(ran_with_taken_key) +
                " requests ran with a key that was taken away over " +
-               std::to_string(*bounds.revoke_ms) + " ms before");
+               std::to_string(bounds.revoke->count()) + " ms before");
   return ran == 0;
 }
 
--- a/review/stand_ins_2/case_left_back_end.cc
+++ b/review/stand_ins_2/case_left_back_end.cc
@@ -68,9 +68,8 @@
   int late_in_touch = 0;
   for (const auto& [began, id] : leaving.runs()) {
     const auto sent = sent_at.find(id);
-    const bool is_late = sent != sent_at.end() &&
-                         sent->second > acknowledged + Milliseconds(bounds.drain_ms) &&
-                         began > acknowledged + Milliseconds(bounds.drain_ms);
+    const bool is_late = sent != sent_at.end() && sent->second > acknowledged + bounds.drain &&
+                         began > acknowledged + bounds.drain;
     // Both machines are in touch again once the restarted one has run for the stability window.
     const bool is_in_touch = is_late && sent->second > restarted + kStabilityWindow;
     late += is_late ? 1 : 0;
--- a/review/stand_ins_2/case_slow_reader.cc
+++ b/review/stand_ins_2/case_slow_reader.cc
@@ -10,14 +10,15 @@
 namespace {
 
 constexpr Milliseconds kDeadline{6000};
-constexpr std::size_t kAnswerBytes = 2'300'000;
-constexpr std::size_t kReadBytesPerSecond = 420'000;
+constexpr std::size_t kAnswerBytes = 1'300'000;
+constexpr std::size_t kReadBytesPerSecond = 230'000;
 constexpr int kReceiveBufferBytes = 32 * 1024;
-constexpr Milliseconds kBetweenRequests{300};
+constexpr Milliseconds kBetweenRequests{250};
 constexpr Milliseconds kBetweenQuestions{1000};
 
 bool Run(Record& record) {
-  Deployment deployment({}, {"painel", "archivo", "liberacao"}, record);
+  const Bounds bounds;
+  Deployment deployment(bounds, {"painel", "archivo", "liberacao"}, record);
   std::vector<Machine>& sidecars = deployment.sidecars();
   Machine& stopped = sidecars[0];
   const auto answer_at_length = [](const Message&) {
@@ -70,7 +71,8 @@
   int misses = 0;
   std::vector<std::thread> clients;
   while (misses < 2 && Clock::now() < stop + std::chrono::seconds(3)) {
-    clients.emplace_back(send, clients.size() % 2 == 0);
+    clients.emplace_back(send, /*is_release=*/true);
+    clients.emplace_back(send, /*is_release=*/false);
     std::this_thread::sleep_for(kBetweenRequests);
     if (Clock::now() >= next_question) {
       next_question += kBetweenQuestions;
@@ -78,7 +80,7 @@
       record.Write("the platform asks for readiness, misses in a row: " + std::to_string(misses));
     }
   }
-  const Clock::time_point grace_end = stop + std::chrono::seconds(6);
+  const Clock::time_point grace_end = stop + bounds.grace;
   while (deployment.IsRunning(stopped) && Clock::now() < grace_end) {
     std::this_thread::sleep_for(Milliseconds(10));
   }
--- a/review/stand_ins_2/deployment.cc
+++ b/review/stand_ins_2/deployment.cc
@@ -499,13 +499,13 @@
   values["heartbeat_interval_ms"] = "1500";
   values["tolerate.machines"] = "2";
   values["bootstrap"] = has_started_[name] ? "false" : "true";
-  values["bounds.grace_s"] = bounds_.grace_s;
+  values["bounds.grace_s"] = std::to_string(bounds_.grace.count());
   values["bounds.retry_budget_ratio"] = "0.2";
   values["bounds.budget_min_retries"] = "50";
   values["bounds.budget_window_s"] = "10";
-  if (bounds_.revoke_ms) {
+  if (bounds_.revoke) {
     values["bounds.strict_revoke"] = "true";
-    values["bounds.revoke_ms"] = std::to_string(*bounds_.revoke_ms);
+    values["bounds.revoke_ms"] = std::to_string(bounds_.revoke->count());
     values["bounds.quota_window_s"] = "5";
     values["bounds.quota_overshoot"] = "0.1";
     values["bounds.quota_slack"] = "20";
--- a/review/stand_ins_2/deployment.h
+++ b/review/stand_ins_2/deployment.h
@@ -169,12 +169,12 @@
   std::thread heartbeats_;
 };
 
-/** Bounds of the deployment, as the pages name them; written into the templates of the settings. */
+/** Bounds of the deployment, as the pages name them. Those of the system's settings are written
+ * into the templates. */
 struct Bounds {
-  int drain_ms = 2000;
-  std::string grace_s = "6";  ///< As it is written into the settings.
-  int config_ms = 2000;
-  std::optional<int> revoke_ms;  ///< Set where strict_revoke is true.
+  Milliseconds drain{2000};
+  std::chrono::seconds grace{6};
+  std::optional<Milliseconds> revoke;  ///< Set where strict_revoke is true.
 };
 
 /** A machine of the deployment and the process of the system on it. */
@@ -207,9 +207,12 @@
   Deployment(const Deployment&) = delete;
   Deployment& operator=(const Deployment&) = delete;
 
-  /** Starts the process of a machine that has ended. */
+  /**
+   * Starts the process of a machine, with settings made from the template anew.
+   * @param machine Its process has ended or was never started.
+   */
   void Start(Machine& machine);
-  /** Sends a signal to the process of a machine. */
+  /** Sends @p signal to the process of a machine. */
   void Signal(const Machine& machine, int signal);
   /** Kills the process of a machine and waits for its end. */
   void Kill(Machine& machine);
@@ -218,6 +221,9 @@
 
   /**
    * Sends a configuration like an operator until it has a clear answer.
+   * @param base Version that it builds on.
+   * @param text The configuration.
+   * @param limit Time for which it is sent.
    * @return The status of that answer; 0 if there is none within @p limit.
    */
   int Put(const std::string& base, const std::string& text,
