--- a/review/stand_ins_2/case_first_start.cc
+++ b/review/stand_ins_2/case_first_start.cc
@@ -24,7 +24,10 @@
   record.Write(status == 200 ? "the first configuration was acknowledged"
                              : "the first configuration was never acknowledged");
   std::this_thread::sleep_for(std::chrono::seconds(3));
+  record.Write(std::string("the node beside the back end is ") +
+               (deployment.IsReady(sidecar) ? "ready" : "not ready"));
   const std::string id = NextRequestId();
+  record.Write("client sends " + id);
   Connection connection(sidecar.address, Deployment::kOutboundPort);
   connection.Send(RequestText("GET", "/b/1", id, kDeadline));
   record.Write("client of " + id + ": " + connection.Receive(kDeadline).start_line);
--- a/review/stand_ins_2/case_last_tenant.cc
+++ b/review/stand_ins_2/case_last_tenant.cc
@@ -34,6 +34,7 @@
   int ran = 0;
   const auto claim = [&](const std::string& key) {
     const std::string id = NextRequestId();
+    record.Write("client sends " + id + " with " + key);
     Connection connection(sidecars[0].address, Deployment::kOutboundPort);
     connection.Send(
         RequestText("POST", "/claim/set-1", id, kDeadline, {{"X-Borageloft-Key", key}}));
--- a/review/stand_ins_2/case_left_back_end.cc
+++ b/review/stand_ins_2/case_left_back_end.cc
@@ -50,6 +50,7 @@
   std::vector<std::thread> clients;
   while (Clock::now() < acknowledged + kWatched) {
     const std::string id = NextRequestId();
+    record.Write("client sends " + id);
     sent_at[id] = Clock::now();
     clients.emplace_back([&, id] {
       Connection connection(sidecars[0].address, Deployment::kOutboundPort);
--- a/review/stand_ins_2/deployment.cc
+++ b/review/stand_ins_2/deployment.cc
@@ -581,6 +581,8 @@
           "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(text.size()) +
           "\r\n\r\n" + text);
       const Message answer = connection.Receive(kCallLimit);
+      record_.Write("operator sent a configuration on " + base + " to " + address + ": " +
+                    StatusLine(answer));
       if (answer.Status() == kFirstRedirect) {
         const std::string location = answer.Find("Location").value_or("");
         const std::size_t begin = location.find("//") + 2;
@@ -588,7 +590,6 @@
         continue;
       }
       if (answer.Status() == 200 || answer.Status() / 100 == 4) {
-        record_.Write("configuration on " + base + ": " + StatusLine(answer));
         return answer.Status();
       }
       break;
