RequestPath: Reject answers cut by a reset during the upload

Callers got the part of an answer that a back end had sent before it reset the connection as a complete 200 (MIXED), when the answer had no length and the upload was still being written.

Cause: the kernel reports a reset once, to the first call that asks. While a long upload is in progress that is the write; the read that follows sees the end of the stream, which is how an answer without a length ends. The error of the write only marked the connection as not reusable.

Change: when the end of the stream would end the body, the outcome of the write decides. After a failed write the answer is lost (outcome unknown). While the write is in progress its outcome is awaited: a back end that goes on reading after its answer (RFC 9112, section 9.6) lets the write finish, one that has failed makes it fail, also when the end of the stream arrives before the reset. Answers framed by a length or by chunks are passed on as before, also if a reset follows them.

AWholeEarlyAnswerIsPassedOn passes before and after.

--- a/libraries/http_stream/message_parser.cc
+++ b/libraries/http_stream/message_parser.cc
@@ -147,6 +147,7 @@
   }
   header_bytes_ = bytes;
   state_ = ParseState::kBody;
+  ends_with_stream_ = kind_ == MessageKind::kResponse && !is_interim && !is_chunked && !has_length;
   if (kind_ == MessageKind::kRequest && has_length) {
     stated_body_bytes_ = static_cast<std::size_t>(parser_.content_length);
     body_.reserve(stated_body_bytes_);  // Growing would hold up to three times the size.
@@ -216,6 +217,7 @@
   interim_responses_ = 0;
   expects_no_body_ = false;
   expects_continue_ = false;
+  ends_with_stream_ = false;
   keeps_alive_ = true;
   status_ = 0;
 }
--- a/libraries/http_stream/message_parser.h
+++ b/libraries/http_stream/message_parser.h
@@ -60,6 +60,9 @@
 
   ParseState state() const { return state_; }
   bool has_failed() const;
+  /** @return Whether the end of the stream ends the body of the current response, which has no
+   * other framing. */
+  bool ends_with_stream() const { return ends_with_stream_; }
   /** @return Bytes of the current message that are in memory. */
   std::size_t held_bytes() const { return header_bytes_ + body_.size(); }
   /** @return Bytes that the current message is known to take: its header and the stated length of
@@ -102,6 +105,7 @@
   unsigned interim_responses_ = 0;
   bool expects_no_body_ = false;
   bool expects_continue_ = false;
+  bool ends_with_stream_ = false;
   bool keeps_alive_ = true;
   unsigned status_ = 0;
 };
--- a/libraries/request_path/upstream_connection.cc
+++ b/libraries/request_path/upstream_connection.cc
@@ -126,14 +126,22 @@
   is_written_ = true;  // From here on the upstream may receive the request.
   asio::async_write(socket_, asio::buffer(output_),
                     [self = shared_from_this()](const asio::error_code& error, std::size_t) {
-                      self->is_writing_ = false;
-                      if (!self->is_closed_ && error) {
-                        // The answer may have arrived before the error; the read handler decides.
-                        self->must_close_ = true;
-                      }
+                      self->RunGuarded([&] { self->HandleWritten(error); });
                     });
 }
 
+void UpstreamConnection::HandleWritten(const asio::error_code& error) {
+  is_writing_ = false;
+  if (error) {
+    // The answer may have arrived before the error; the read handler decides.
+    has_write_failed_ = true;
+    must_close_ = true;
+  }
+  if (has_stream_ended_) {
+    HandleEnd(asio::error::eof);
+  }
+}
+
 void UpstreamConnection::Read() {
   if (is_reading_ || is_closed_) {
     return;
@@ -143,23 +151,30 @@
       asio::buffer(read_buffer_),
       [self = shared_from_this()](const asio::error_code& error, std::size_t count) {
         self->is_reading_ = false;
-        if (self->is_closed_) {
-          return;
-        }
-        try {
+        self->RunGuarded([&] {
           if (error) {
             self->HandleEnd(error);
           } else {
             self->HandleBytes(count);
           }
-        } catch (const std::exception& failure) {
-          base::Log(base::LogLevel::kError, "upstream_answer_handler_failed",
-                    {{"request", self->request_id_}, {"error", failure.what()}});
-          self->Close();
-        }
+        });
       });
 }
 
+// An unexpected error ends the connection and not the process.
+void UpstreamConnection::RunGuarded(const std::function<void()>& action) {
+  if (is_closed_) {
+    return;
+  }
+  try {
+    action();
+  } catch (const std::exception& failure) {
+    base::Log(base::LogLevel::kError, "upstream_answer_handler_failed",
+              {{"request", request_id_}, {"error", failure.what()}});
+    Close();
+  }
+}
+
 void UpstreamConnection::HandleBytes(std::size_t count) {
   std::string_view bytes(read_buffer_.data(), count);
   while (!bytes.empty() && !is_closed_) {
@@ -204,7 +219,14 @@
     Close();
     return;
   }
-  if (error == asio::error::eof) {
+  const bool is_end = error == asio::error::eof;
+  if (is_end && parser_.ends_with_stream() && is_writing_) {
+    // The outcome of the write tells whether the upstream still reads the request, or has failed.
+    has_stream_ended_ = true;
+    return;
+  }
+  // A reset is reported once, to the write or to the read. After the write the read sees an end.
+  if (is_end && !(parser_.ends_with_stream() && has_write_failed_)) {
     parser_.FinishAtEnd();
     if (parser_.state() == http_stream::ParseState::kComplete) {
       must_close_ = true;
--- a/libraries/request_path/upstream_connection.h
+++ b/libraries/request_path/upstream_connection.h
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <array>
 #include <asio.hpp>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -47,10 +48,12 @@
  private:
   void Connect();
   void Write();
+  void HandleWritten(const asio::error_code& error);
   void Read();
   void UpdateHeldBytes(std::size_t bytes);
   void HandleBytes(std::size_t count);
   void HandleEnd(const asio::error_code& error);
+  void RunGuarded(const std::function<void()>& action);
   void HandleAnswer();
   void Deliver(http_stream::ResponseMessage message);
   void Fail(wire::Outcome outcome, Refusal refusal);
@@ -81,6 +84,8 @@
   bool is_reading_ = false;
   bool is_writing_ = false;
   bool is_written_ = false;
+  bool has_write_failed_ = false;
+  bool has_stream_ended_ = false;  // The upstream sends no more; the write is still in progress.
   bool is_closed_ = false;
   bool must_close_ = false;  // The connection cannot carry another request.
 };
--- a/tests/request_path/upstream_pool_test.cc
+++ b/tests/request_path/upstream_pool_test.cc
@@ -8,6 +8,7 @@
 namespace {
 
 using asio::ip::tcp;
+using std::chrono_literals::operator""ms;
 
 // An upstream on loopback that accepts one connection and answers its first request.
 class UpstreamPoolTest : public ::testing::Test {
@@ -232,5 +233,160 @@
   EXPECT_EQ(Ask("x").body, "ok");
 }
 
+/** An upstream that answers while it is still being sent the request. */
+class EarlyAnswerTest : public UpstreamPoolTest {
+ protected:
+  enum class End {
+    kReset,          // The upstream fails.
+    kResetAfterEnd,  // As above, after the end of the stream has arrived.
+    kClose,          // Closes with unread bytes, which resets the connection.
+    kReadToEnd,      // Reads the rest of the request after the end of the stream.
+    kReadAndReset,   // Reads some more after the end of the stream, then fails.
+  };
+
+  struct Case {
+    std::string answer;
+    End end = End::kReset;
+    /** Time between the last byte of the answer and the end. */
+    std::chrono::milliseconds pause{};
+  };
+
+  // More than the buffers of the connection hold.
+  static constexpr std::size_t kUploadBytes = std::size_t{16} << 20U;
+
+  void SetUp() override {
+    UpstreamPoolTest::SetUp();
+    acceptor_.set_option(asio::socket_base::receive_buffer_size(64 * 1024));
+  }
+
+  /** @return What the pool makes of @p played as the answer to a long upload. */
+  wire::Response Upload(const Case& played) {
+    socket_ = tcp::socket(context_);
+    request_.clear();
+    answer_ = played.answer;
+    has_ended_ = false;
+    acceptor_.async_accept(socket_, [this, played](const asio::error_code& error) {
+      ASSERT_FALSE(error);
+      asio::async_read_until(
+          socket_, asio::dynamic_buffer(request_), "\r\n\r\n",
+          [this, played](const asio::error_code&, std::size_t) {
+            asio::async_write(
+                socket_, asio::buffer(answer_),
+                [this, played](const asio::error_code&, std::size_t) { WaitAndEnd(played); });
+          });
+    });
+    std::optional<wire::Response> got;
+    wire::Request request;
+    request.method = "PUT";
+    request.path = "/a";
+    request.headers = {{"Host", "a"}};
+    request.body = std::string(kUploadBytes, 'u');
+    pool_->Run(std::move(request), Deadline(),
+               [&](wire::Response response) { got = std::move(response); });
+    RunUntil([&] { return got.has_value() && has_ended_; });
+    return *got;
+  }
+
+  void WaitAndEnd(const Case& played) {
+    timer_.expires_after(played.pause);
+    timer_.async_wait([this, end = played.end](const asio::error_code&) {
+      has_ended_ = true;
+      EndAnswer(end);
+    });
+  }
+
+  void EndAnswer(End end) {
+    asio::error_code ignored;  // The pool may have closed the connection.
+    switch (end) {
+      case End::kReset:
+        Reset();
+        break;
+      case End::kResetAfterEnd:
+        socket_.shutdown(tcp::socket::shutdown_send, ignored);
+        Reset();
+        break;
+      case End::kClose:
+        socket_.close(ignored);
+        break;
+      case End::kReadToEnd:
+        socket_.shutdown(tcp::socket::shutdown_send, ignored);
+        ReadRequest(kUploadBytes);
+        break;
+      case End::kReadAndReset:
+        socket_.shutdown(tcp::socket::shutdown_send, ignored);
+        ReadRequest(kUploadBytes / 2);
+        break;
+    }
+  }
+
+  void Reset() {
+    asio::error_code ignored;
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    socket_.close(ignored);
+  }
+
+  void ReadRequest(std::size_t left) {
+    rest_.resize(64 * 1024);
+    socket_.async_read_some(asio::buffer(rest_),
+                            [this, left](const asio::error_code& error, std::size_t size) {
+                              if (error) {
+                                return;
+                              }
+                              if (left < size) {
+                                Reset();
+                              } else {
+                                ReadRequest(left - size);
+                              }
+                            });
+  }
+
+  asio::steady_timer timer_{context_};
+  std::string rest_;
+  bool has_ended_ = false;
+};
+
+// Guards against the part of an answer without a length that an upstream sends before it resets the
+// connection, and that a caller gets as the whole: the error of the write hid the reset from the
+// read, which saw the usual end of such an answer (MIXED).
+TEST_F(EarlyAnswerTest, AnAnswerCutByAResetIsNotWhole) {
+  for (const std::string head :
+       {"200 OK\r\nSeal: s\r\n", "201 Created\r\nSeal: s\r\nConnection: close\r\n",
+        "404 Not Found\r\n", "503 Busy\r\nBorageloft-Not-Run: 1\r\n"}) {
+    for (const End end : {End::kReset, End::kResetAfterEnd, End::kClose, End::kReadAndReset}) {
+      for (const std::size_t size : {std::size_t{0}, std::size_t{5}, std::size_t{100'000}}) {
+        for (const std::chrono::milliseconds pause : {0ms, 5ms}) {
+          SCOPED_TRACE(head + std::to_string(static_cast<int>(end)) + ' ' + std::to_string(size) +
+                       ' ' + std::to_string(pause.count()));
+          const wire::Response response =
+              Upload({"HTTP/1.1 " + head + "\r\n" + std::string(size, 'x'), end, pause});
+          EXPECT_EQ(response.outcome, wire::Outcome::kUnknown);
+          EXPECT_EQ(response.reason, TextOf(Refusal::kUpstreamLost));
+          EXPECT_EQ(pool_->idle_count(), 0U);
+        }
+      }
+    }
+  }
+}
+
+// Guards against the loss of an answer that is whole by its framing, or that ends with the stream
+// while the upstream goes on reading the request, as RFC 9112, section 9.6, asks it to.
+TEST_F(EarlyAnswerTest, AWholeEarlyAnswerIsPassedOn) {
+  const std::string head = "HTTP/1.1 413 Too Large\r\nSeal: s\r\n";
+  const std::string sized = head + "Content-Length: 5\r\n\r\nwhole";
+  const std::string chunked =
+      head + "Transfer-Encoding: chunked\r\n\r\n3\r\nwho\r\n2\r\nle\r\n0\r\n\r\n";
+  for (const Case& played :
+       {Case{sized, End::kReset}, Case{sized, End::kClose}, Case{sized, End::kReadToEnd},
+        Case{chunked, End::kReset}, Case{chunked, End::kResetAfterEnd},
+        Case{chunked, End::kReadToEnd}, Case{head + "\r\nwhole", End::kReadToEnd}}) {
+    SCOPED_TRACE(played.answer + std::to_string(static_cast<int>(played.end)));
+    const wire::Response response = Upload(played);
+    EXPECT_EQ(response.outcome, wire::Outcome::kRan);
+    EXPECT_EQ(response.status, 413U);
+    EXPECT_EQ(response.body, "whole");
+    EXPECT_EQ(pool_->idle_count(), 0U);
+  }
+}
+
 }  // namespace
 }  // namespace borageloft::request_path
