HttpStream: Hold answers to the grammar of RFC 9112

Answers of an upstream in trouble that do not follow the grammar reached callers as answers: with another version or a damaged status line, with control bytes in the values of fields, folded fields, bare line feeds, a transfer coding that the node had not asked for and took off the head (gzip, identity), two codings, or chunks whose data was followed by other bytes than a line end, so that the body was not the upstream's. Names of fields with blanks or control bytes and the status 000 were rejected before; their tests stay.

Answers 204 and 304 with a length were read on for a body that never comes, and callers got none until their time was up. A length in an interim answer took the head of the final one for its body.

Cause: http_parser, as built here, accepts far more than the grammar, and MessageParser added a check of blanks in names only.

Change: ResponseSyntax checks the lines of a response beside http_parser, which still reads it, and MessageParser reports a response as malformed if it does not agree that it may end there. 1xx, 204 and 304 end with their head (RFC 9112, section 6.3). Bare line feeds and folded fields, which a recipient may accept or replace, are rejected: in an answer of an upstream they are the sign of a damaged head. A status line without the blank before an empty reason is still accepted. Requests are read as before.

--- a/libraries/http_stream/http_stream.h
+++ b/libraries/http_stream/http_stream.h
@@ -5,6 +5,7 @@
 
 #include "libraries/http_stream/message.h"
 #include "libraries/http_stream/message_parser.h"
+#include "libraries/http_stream/response_syntax.h"
 #include "libraries/http_stream/server.h"
 #include "libraries/http_stream/slow_reader_policy.h"
 
--- a/libraries/http_stream/message_parser.cc
+++ b/libraries/http_stream/message_parser.cc
@@ -13,13 +13,15 @@
 constexpr unsigned kFirstStatus = 100;
 constexpr unsigned kSwitchingProtocols = 101;
 constexpr unsigned kFirstFinalStatus = 200;
+constexpr unsigned kNoContent = 204;
+constexpr unsigned kNotModified = 304;
 // Interim responses before a final one; a peer that sends more does not come to an end.
 constexpr unsigned kMaxInterimResponses = 16;
 
 }  // namespace
 
 MessageParser::MessageParser(MessageKind kind, MessageLimits limits)
-    : kind_(kind), limits_(limits) {
+    : kind_(kind), limits_(limits), syntax_(limits.header_bytes) {
   Reset();
 }
 
@@ -82,6 +84,7 @@
     }
   }
   const auto error = HTTP_PARSER_ERRNO(&parser_);
+  CheckSyntax(bytes.substr(0, consumed));
   if (has_failed() || state_ == ParseState::kComplete) {
     return consumed;
   }
@@ -91,6 +94,17 @@
   return consumed;
 }
 
+// http_parser accepts more than the grammar, and where it does it may see another end.
+void MessageParser::CheckSyntax(std::string_view consumed) {
+  if (kind_ != MessageKind::kResponse || has_failed()) {
+    return;
+  }
+  const bool is_valid = syntax_.Feed(consumed);
+  if (!is_valid || (state_ == ParseState::kComplete && !syntax_.MayEnd())) {
+    state_ = ParseState::kMalformed;
+  }
+}
+
 void MessageParser::FinishAtEnd() {
   if (state_ == ParseState::kComplete || has_failed()) {
     return;
@@ -141,13 +155,17 @@
     state_ = ParseState::kMalformed;
     return kAbort;
   }
-  if (has_length && parser_.content_length > limits_.body_bytes && !expects_no_body_) {
+  // These end with their header, whatever it states (RFC 9112, section 6.3).
+  const bool has_no_body = kind_ == MessageKind::kResponse &&
+                           (expects_no_body_ || is_interim || parser_.status_code == kNoContent ||
+                            parser_.status_code == kNotModified);
+  if (has_length && parser_.content_length > limits_.body_bytes && !has_no_body) {
     state_ = ParseState::kBodyTooLarge;
     return kAbort;
   }
   header_bytes_ = bytes;
   state_ = ParseState::kBody;
-  ends_with_stream_ = kind_ == MessageKind::kResponse && !is_interim && !is_chunked && !has_length;
+  ends_with_stream_ = kind_ == MessageKind::kResponse && !has_no_body && !is_chunked && !has_length;
   if (kind_ == MessageKind::kRequest && has_length) {
     stated_body_bytes_ = static_cast<std::size_t>(parser_.content_length);
     body_.reserve(stated_body_bytes_);  // Growing would hold up to three times the size.
@@ -155,7 +173,7 @@
   status_ = parser_.status_code;
   const std::string* expect = FindField(fields_, "expect");
   expects_continue_ = expect != nullptr && EqualsIgnoreCase(*expect, "100-continue");
-  return expects_no_body_ ? kSkipBody : kContinueParsing;
+  return has_no_body ? kSkipBody : kContinueParsing;
 }
 
 int MessageParser::HandleMessageComplete() {
@@ -207,6 +225,7 @@
 void MessageParser::Reset() {
   http_parser_init(&parser_, kind_ == MessageKind::kRequest ? HTTP_REQUEST : HTTP_RESPONSE);
   parser_.data = this;
+  syntax_ = ResponseSyntax(limits_.header_bytes);
   state_ = ParseState::kIdle;
   target_.clear();
   fields_.clear();
--- a/libraries/http_stream/message_parser.h
+++ b/libraries/http_stream/message_parser.h
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include "libraries/http_stream/message.h"
+#include "libraries/http_stream/response_syntax.h"
 
 namespace borageloft::http_stream {
 
@@ -34,7 +35,8 @@
 /**
  * Incremental parser that reads one HTTP/1.1 message at a time, built on the http_parser library.
  * To prevent request smuggling, it rejects messages whose framing is ambiguous: both Content-Length
- * and chunked coding, several lengths, or an unknown transfer coding. Not thread-safe.
+ * and chunked coding, several lengths, or an unknown transfer coding. Responses are also held to
+ * the grammar of RFC 9112 (ResponseSyntax). Not thread-safe.
  */
 class MessageParser {
  public:
@@ -56,7 +58,10 @@
    * @param expects_no_body Whether the next response has no body, whatever its header states (a
    *                        response to HEAD).
    */
-  void set_expects_no_body(bool expects_no_body) { expects_no_body_ = expects_no_body; }
+  void set_expects_no_body(bool expects_no_body) {
+    expects_no_body_ = expects_no_body;
+    syntax_.set_expects_no_body(expects_no_body);
+  }
 
   ParseState state() const { return state_; }
   bool has_failed() const;
@@ -86,6 +91,7 @@
   static const http_parser_settings& Callbacks();
   static MessageParser& Self(http_parser* parser);
 
+  void CheckSyntax(std::string_view consumed);
   int HandleHeadersComplete();
   int HandleMessageComplete();
   void GrowBody(std::size_t added);
@@ -95,6 +101,7 @@
   MessageKind kind_;
   MessageLimits limits_;
   http_parser parser_{};
+  ResponseSyntax syntax_;
   ParseState state_ = ParseState::kIdle;
   std::string target_;
   Fields fields_;
