RequestPath: Check the fields of answers that other nodes pass on

While nodes are replaced one by one, a node of an earlier version beside an upstream can still let through an answer with control bytes in a field. The node that the caller asked wrote it out as it was; a line end in a name or value would have split the answer.

Cause: the entry checked only the status of an answer between nodes.

Change: it also checks the names and values of the fields, and treats a damaged answer as one that the gate has rejected: outcome unknown, 502.

--- a/libraries/http_stream/response_syntax.cc
+++ b/libraries/http_stream/response_syntax.cc
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <charconv>
 
-#include "libraries/http_stream/message.h"
-
 namespace borageloft::http_stream {
 
 namespace {
@@ -105,6 +103,12 @@
   return std::all_of(text.begin(), text.end(), IsTextCharacter);
 }
 
+bool AreValid(const Fields& fields) {
+  return std::all_of(fields.begin(), fields.end(), [](const wire::Header& field) {
+    return IsToken(field.name) && IsFieldText(field.value);
+  });
+}
+
 bool ResponseSyntax::Feed(std::string_view bytes) {
   while (!bytes.empty() && part_ != Part::kInvalid && part_ != Part::kBody) {
     if (part_ == Part::kChunkData) {
--- a/libraries/http_stream/response_syntax.h
+++ b/libraries/http_stream/response_syntax.h
@@ -5,6 +5,8 @@
 #include <string>
 #include <string_view>
 
+#include "libraries/http_stream/message.h"
+
 namespace borageloft::http_stream {
 
 /** @return Whether @p text is a token (RFC 9110, section 5.6.2), as the name of a field must be. */
@@ -14,6 +16,9 @@
  * section 5.5); in particular no control bytes apart from tabs. */
 bool IsFieldText(std::string_view text);
 
+/** @return Whether all names and values may be written as fields of a message. */
+bool AreValid(const Fields& fields);
+
 /**
  * Checks the lines of one HTTP/1.x response against the grammar of RFC 9112, and that its framing
  * is unambiguous. HTTP libraries accept more than the grammar: bare line feeds, folded fields,
--- a/libraries/request_path/request_run.cc
+++ b/libraries/request_path/request_run.cc
@@ -221,7 +221,8 @@
   if (is_done_ || !attempt_ || number != sends_) {
     return;
   }
-  if (response.outcome == wire::Outcome::kRan && !wire::IsFinalStatus(response.status)) {
+  if (response.outcome == wire::Outcome::kRan &&
+      (!wire::IsFinalStatus(response.status) || !http_stream::AreValid(response.headers))) {
     // The gate rejects such an answer of its upstream; this is for what arrives between nodes.
     response.outcome = wire::Outcome::kUnknown;
     response.reason = std::string(TextOf(Refusal::kUpstreamGarbled));
--- a/tests/request_path/entry_test.cc
+++ b/tests/request_path/entry_test.cc
@@ -175,6 +175,30 @@
   EXPECT_NE(http_stream::FindField((*refused)->fields, "Retry-After"), nullptr);
 }
 
+// Guards against an answer with damaged fields or without a status that a node of an earlier
+// version has let through beside its upstream, and that is written to the caller.
+TEST_F(EntryTest, ADamagedAnswerOfAnotherNodeIsNotPassedOn) {
+  Declare(declaration::Repetition::kAtMostOnce);
+  const auto answer_with = [&](unsigned status, const wire::Header& field) {
+    const auto answer = Ask();
+    wire::Response response;
+    response.outcome = wire::Outcome::kRan;
+    response.status = status;
+    response.headers = {{"Seal", "s"}, field};
+    const ResponseHandler handler = sent_.back()->handler;
+    handler(std::move(response));
+    return (*answer)->status;
+  };
+  EXPECT_EQ(answer_with(200, {"X-Whole", "a\tb \xe9"}), 200U);
+  EXPECT_EQ(answer_with(0, {"X-Whole", "1"}), 502U);
+  for (const std::string name : {"", "X Y", "X\x01", "X:", "X\r\nY", "X\t", "\x7f"}) {
+    EXPECT_EQ(answer_with(200, {name, "1"}), 502U) << name;
+  }
+  for (const std::string value : {"\x01", "a\rb", "a\nb", "a\r\nY: 1", "\x7f"}) {
+    EXPECT_EQ(answer_with(200, {"X", value}), 502U) << value;
+  }
+}
+
 // Guards against retries at every hop above a failure: each would make all calls again.
 TEST_F(EntryTest, AFailedCallIsNotRetriedAboveIt) {
   Declare(declaration::Repetition::kIdempotent);
