Tests: Try malformed answers with every reader and phase

Twenty malformed answers, in the head, the length, the chunks and the end, each with an orderly end and with a reset, as the answer to a request without a body, to a short upload, to a long one that is still in progress, and to a health question.

Nothing passes them on.

--- a/tests/request_path/upstream_pool_test.cc
+++ b/tests/request_path/upstream_pool_test.cc
@@ -259,8 +259,8 @@
     acceptor_.set_option(asio::socket_base::receive_buffer_size(64 * 1024));
   }
 
-  /** @return What the pool makes of @p played as the answer to a long upload. */
-  wire::Response Upload(const Case& played) {
+  /** Plays @p played on the next connection. */
+  void AcceptAndPlay(const Case& played) {
     socket_ = tcp::socket(context_);
     request_.clear();
     answer_ = played.answer;
@@ -275,18 +275,36 @@
                 [this, played](const asio::error_code&, std::size_t) { WaitAndEnd(played); });
           });
     });
+  }
+
+  /** @return What the pool makes of @p played as the answer to a request with @p body_bytes. */
+  wire::Response Ask(const Case& played, std::size_t body_bytes) {
+    AcceptAndPlay(played);
     std::optional<wire::Response> got;
     wire::Request request;
     request.method = "PUT";
     request.path = "/a";
     request.headers = {{"Host", "a"}};
-    request.body = std::string(kUploadBytes, 'u');
+    request.body = std::string(body_bytes, 'u');
     pool_->Run(std::move(request), Deadline(),
                [&](wire::Response response) { got = std::move(response); });
     RunUntil([&] { return got.has_value() && has_ended_; });
     return *got;
   }
 
+  /** @return What the pool makes of @p played as the answer to a long upload. */
+  wire::Response Upload(const Case& played) { return Ask(played, kUploadBytes); }
+
+  /** @return Status that the pool reports of @p played as a health answer; 0 if there is none. */
+  unsigned AskHealth(const Case& played) {
+    AcceptAndPlay(played);
+    std::optional<unsigned> status;
+    pool_->AskHealth("/health", Deadline(),
+                     [&](const http_stream::ResponseMessage& answer) { status = answer.status; });
+    RunUntil([&] { return status.has_value() && has_ended_; });
+    return *status;
+  }
+
   void WaitAndEnd(const Case& played) {
     timer_.expires_after(played.pause);
     timer_.async_wait([this, end = played.end](const asio::error_code&) {
@@ -388,5 +406,51 @@
   }
 }
 
+// Guards against a malformed answer that one reader or one phase of the request lets through:
+// during a long upload, after a short one, as a health answer, with an orderly end and with a
+// reset.
+TEST_F(EarlyAnswerTest, NoReaderPassesOnAMalformedAnswer) {
+  const std::string ok = "HTTP/1.1 200 OK\r\nSeal: s\r\n";
+  const std::string sized = "Content-Length: 2\r\n\r\nok";
+  const std::string coding = "Transfer-Encoding: chunked\r\n";
+  const std::string chunked = ok + coding + "\r\n";
+  const std::string last = "0\r\n\r\n";
+  const std::vector<std::string> answers = {
+      "HTTP/1.1 000 Oops\r\nSeal: s\r\n" + sized,
+      "HTTP/2.0 200 OK\r\nSeal: s\r\n" + sized,
+      "HTTP/1.1 200 O\x01K\r\nSeal: s\r\n" + sized,
+      ok + "X Y: 1\r\n" + sized,
+      ok + "X\x01: 1\r\n" + sized,
+      ok + "X: \x01\r\n" + sized,
+      ok + "X: a\r\n b\r\n" + sized,
+      ok + "X: 1\n" + sized,
+      ok + "X: 1",
+      ok + "Content-Length: 2x\r\n\r\nok",
+      ok + "Content-Length: 3\r\n\r\nok",
+      ok + "Content-Length: 3\r\n" + sized,
+      ok + coding + "Content-Length: 12\r\n\r\n2\r\nok\r\n" + last,
+      ok + "Transfer-Encoding: gzip\r\n\r\nok",
+      "HTTP/1.0 200 OK\r\nSeal: s\r\n" + coding + "\r\n2\r\nok\r\n" + last,
+      chunked + "2\r\nokXX" + last,
+      chunked + "2;\x01\r\nok\r\n" + last,
+      chunked + "2\r\nok\r\n",
+      chunked + "2\r\nok\r\n0\r\nX Y: 1\r\n\r\n",
+      "HTTP/1.1 103 Hints\r\n\r\n",
+  };
+  for (const std::string& answer : answers) {
+    for (const End end : {End::kReset, End::kReadToEnd}) {
+      SCOPED_TRACE(::testing::PrintToString(answer) + std::to_string(static_cast<int>(end)));
+      const Case played{answer, end, 1ms};
+      for (const std::size_t body_bytes : {std::size_t{0}, std::size_t{100}, kUploadBytes}) {
+        EXPECT_EQ(Ask(played, body_bytes).outcome, wire::Outcome::kUnknown) << body_bytes;
+        EXPECT_EQ(pool_->idle_count(), 0U);
+      }
+      EXPECT_EQ(AskHealth(played), 0U);
+    }
+  }
+  EXPECT_EQ(Ask({ok + sized, End::kReadToEnd}, 0).status, 200U);
+  EXPECT_EQ(AskHealth({ok + sized, End::kReadToEnd}), 200U);
+}
+
 }  // namespace
 }  // namespace borageloft::request_path
