Declaration: Tell an empty list of client accounts from none

An empty list of accounts stood for "callers need no key": the decoder did not keep whether the field was there, the entry skipped the check of keys, and the node stopped to track the age of its knowledge. An old declaration at the node is ruled out: the requests are logged with the new version.

The list is optional now. With one, also an empty one, keys are required. Without one callers need no key, but a key that is stated is looked up, so that leaving the field out withdraws keys as well. "tenants":null is refused, since it may mean either; a health path that is no text, which was ignored, is refused too.

Before: both EntryAccountsTest cases fail ("Value of: *answer, Actual: false": the request was sent to the upstream).

--- a/libraries/declaration/client_account.h
+++ b/libraries/declaration/client_account.h
@@ -50,9 +50,6 @@
   /** @return The account that holds @p key; null if there is none. Valid as long as the table. */
   const ClientAccount* FindByKey(std::string_view key) const;
 
-  /** @return Whether no account is declared, so that callers need no key. */
-  bool is_empty() const { return accounts_.empty(); }
-
   const std::vector<ClientAccount>& accounts() const { return accounts_; }
 
  private:
--- a/libraries/declaration/declaration_changes.cc
+++ b/libraries/declaration/declaration_changes.cc
@@ -54,9 +54,10 @@
     parts["service " + service.name] =
         fmt::format("connections={} health={}", service.connections, service.health_path);
   }
-  for (const ClientAccount& account : declaration.accounts) {
+  for (const ClientAccount& account : AccountsOf(declaration)) {
     parts["account " + account.name] = Describe(account);
   }
+  parts["keys"] = declaration.accounts ? "required" : "not required";
   const CallerLimits& limits = declaration.limits;
   parts["limits"] = fmt::format("header={} body={} header_timeout={} idle_timeout={}",
                                 Describe(limits.header_bytes), Describe(limits.body_bytes),
--- a/libraries/declaration/declaration_review.cc
+++ b/libraries/declaration/declaration_review.cc
@@ -41,7 +41,7 @@
     for (const WeightedService& target : route.targets) {
       used.insert(target.service);
     }
-    if (route.is_public && declaration.accounts.empty()) {
+    if (route.is_public && !declaration.accounts) {
       remarks.push_back({route.name, "it is public, but no client account is declared"});
     }
   }
@@ -50,14 +50,16 @@
       remarks.push_back({service.name, "no route leads to the service"});
     }
   }
-  for (const ClientAccount& account : declaration.accounts) {
+  for (const ClientAccount& account : AccountsOf(declaration)) {
     ReviewAccount(account, remarks);
   }
   const bool needs_no_key = !declaration.routes.empty() &&
                             std::all_of(declaration.routes.begin(), declaration.routes.end(),
                                         [](const Route& route) { return route.is_public; });
-  if (!declaration.accounts.empty() && needs_no_key) {
+  if (declaration.accounts && needs_no_key) {
     remarks.push_back({"accounts", "all routes are public: no request needs a key"});
+  } else if (declaration.accounts && declaration.accounts->empty()) {
+    remarks.push_back({"accounts", "the list is empty: no key is valid"});
   }
   return remarks;
 }
--- a/libraries/declaration/route_table.cc
+++ b/libraries/declaration/route_table.cc
@@ -41,7 +41,7 @@
 PriorityRanks::PriorityRanks(const Declaration& declaration) {
   for (const Route& route : declaration.routes) {
     ordered_.emplace_back(route.priority, route.priority);
-    for (const ClientAccount& account : declaration.accounts) {
+    for (const ClientAccount& account : AccountsOf(declaration)) {
       ordered_.emplace_back(account.priority.value_or(route.priority), route.priority);
     }
     std::sort(ordered_.begin(), ordered_.end());
--- a/libraries/declaration/routes.cc
+++ b/libraries/declaration/routes.cc
@@ -66,6 +66,11 @@
   return lower;
 }
 
+const std::vector<ClientAccount>& AccountsOf(const Declaration& declaration) {
+  static const std::vector<ClientAccount> kNone;
+  return declaration.accounts ? *declaration.accounts : kNone;
+}
+
 std::optional<std::string> FindFault(const Declaration& declaration) {
   if (declaration.version == 0) {
     return "the version must be above 0";
@@ -92,7 +97,7 @@
   if (auto fault = FindLimitFault(declaration.limits)) {
     return fault;
   }
-  return FindAccountFault(declaration.accounts);
+  return FindAccountFault(AccountsOf(declaration));
 }
 
 }  // namespace borageloft::declaration
--- a/libraries/declaration/routes.h
+++ b/libraries/declaration/routes.h
@@ -72,10 +72,14 @@
   std::vector<std::string> hosts;  ///< All hosts that are named, also those without routes.
   std::vector<Route> routes;
   CallerLimits limits;
-  /** Without any, callers need no key. */
-  std::vector<ClientAccount> accounts = {};
+  /** With a list, also an empty one, callers need the key of an account. Without, they need none,
+   * but a key that they state is not valid. */
+  std::optional<std::vector<ClientAccount>> accounts = std::nullopt;
 };
 
+/** @return The client accounts of @p declaration; none if it has no list of them. */
+const std::vector<ClientAccount>& AccountsOf(const Declaration& declaration);
+
 /** @return @p host in lower case, in which hosts are compared. */
 std::string NormalizeHost(std::string_view host);
 
--- a/libraries/mesh/control_service.cc
+++ b/libraries/mesh/control_service.cc
@@ -248,7 +248,7 @@
   }
   quota_version_ = applied.version();
   try {
-    quotas_.SetAccounts(dialect_.decode_declaration(applied.text()).accounts, now);
+    quotas_.SetAccounts(AccountsOf(dialect_.decode_declaration(applied.text())), now);
   } catch (const declaration::DeclarationError& error) {
     base::Log(base::LogLevel::kError, "declaration_unreadable",
               {{"version", static_cast<Json::UInt64>(quota_version_)}, {"error", error.what()}});
--- a/libraries/mesh/mesh_node.cc
+++ b/libraries/mesh/mesh_node.cc
@@ -343,7 +343,7 @@
 
 void MeshNode::HandleDeclaration(const declaration::Declaration& declaration) {
   entry_->SetDeclaration(declaration);
-  quotas_->SetAccounts(declaration.accounts);
+  quotas_->SetAccounts(AccountsOf(declaration));
   http_stream::ServerLimits limits;
   limits.connections = loop_.settings().connections;
   limits.connections_per_address = loop_.settings().connections_per_address;
--- a/libraries/mesh/node_presence.cc
+++ b/libraries/mesh/node_presence.cc
@@ -60,7 +60,7 @@
                      }
                    }}),
       startup_report_(hooks_.clock()) {
-  // A declaration with accounts may be the first one.
+  // The first declaration may require keys.
   sync_.set_needs_age(revocation_time_.has_value());
 }
 
@@ -117,8 +117,8 @@
   try {
     const declaration::Declaration declaration = dialect_.decode_declaration(text);
     version_ = declaration.version;
-    has_accounts_ = !declaration.accounts.empty();
-    sync_.set_needs_age(has_accounts_ && revocation_time_.has_value());
+    requires_keys_ = declaration.accounts.has_value();
+    sync_.set_needs_age(requires_keys_ && revocation_time_.has_value());
     hooks_.on_declaration(declaration);
     for (const declaration::ServiceEntry& service : declaration.services) {
       if (service.name == service_) {
@@ -262,7 +262,7 @@
 }
 
 bool NodePresence::AreKeysFresh() const {
-  if (!has_accounts_ || !revocation_time_) {
+  if (!requires_keys_ || !revocation_time_) {
     return true;
   }
   const std::optional<base::Duration> age = sync_.Age();
--- a/libraries/mesh/node_presence.h
+++ b/libraries/mesh/node_presence.h
@@ -96,7 +96,7 @@
   std::size_t reachable_control_hosts() const { return sync_.reachable_hosts(); }
   /**
    * @return Whether a key that was withdrawn longer ago than the settings allow is known to be
-   *     withdrawn. Always true if the settings state no such time or no account is declared.
+   *     withdrawn. Always true if the settings state no such time or no keys are required.
    */
   bool AreKeysFresh() const;
   /** @return Version of the declaration in force, or 0. */
@@ -129,7 +129,7 @@
   std::optional<base::TimePoint> quota_asked_at_;  // Of the first request since that answer.
   std::string health_path_;  // Of the local upstream, from the declaration in force.
   declaration::Version version_ = 0;
-  bool has_accounts_ = false;  // In the declaration in force.
+  bool requires_keys_ = false;  // As of the declaration in force.
   std::uint64_t record_revision_ = 0;
   directory::InstanceRecord record_;
   std::optional<base::TimePoint> draining_since_;
--- a/libraries/request_path/entry.cc
+++ b/libraries/request_path/entry.cc
@@ -75,9 +75,10 @@
   VERIFY(declaration.version > version_);
   version_ = declaration.version;
   routes_ = std::make_unique<declaration::RouteTable>(declaration, hooks_.random);
-  accounts_ = std::make_unique<declaration::AccountTable>(declaration.accounts);
-  ranks_ = declaration.accounts.empty() ? nullptr
-                                        : std::make_unique<declaration::PriorityRanks>(declaration);
+  const std::vector<declaration::ClientAccount>& accounts = AccountsOf(declaration);
+  accounts_ = std::make_unique<declaration::AccountTable>(accounts);
+  requires_keys_ = declaration.accounts.has_value();
+  ranks_ = accounts.empty() ? nullptr : std::make_unique<declaration::PriorityRanks>(declaration);
 }
 
 CancelHook Entry::Handle(http_stream::RequestMessage message, base::TimePoint received,
@@ -183,12 +184,11 @@
 Refusal Entry::FindAccount(const http_stream::RequestMessage& message,
                            const std::string& request_id, bool is_public,
                            const declaration::ClientAccount*& account) const {
-  if (accounts_->is_empty()) {
-    return Refusal::kNone;
-  }
   const std::string* key = http_stream::FindField(message.fields, options_.names.account_key);
   account = key == nullptr ? nullptr : accounts_->FindByKey(*key);
-  if (is_public) {
+  // A key that is stated is checked in any case: it may have been withdrawn with the last account.
+  const bool states_no_key = key == nullptr || key->empty();
+  if (is_public || (states_no_key && !requires_keys_)) {
     return Refusal::kNone;
   }
   // Calls carry no key. Without the request that made it, a call has no account either.
--- a/libraries/request_path/entry.h
+++ b/libraries/request_path/entry.h
@@ -136,8 +136,6 @@
   InstanceChooser& chooser() { return chooser_; }
   RetryBudget& budget() { return budget_; }
   const EntryCounters& counters() const { return counters_; }
-  /** @return Whether the declaration in force names client accounts. */
-  bool has_accounts() const { return accounts_ != nullptr && !accounts_->is_empty(); }
   /** @return Declaration version in force; 0 before the first declaration. */
   declaration::Version version() const { return version_; }
   std::size_t runs_in_progress() const { return runs_.size(); }
@@ -167,6 +165,7 @@
   std::vector<std::uint64_t> calls_below_calls_;
   std::unique_ptr<declaration::RouteTable> routes_;
   std::unique_ptr<declaration::AccountTable> accounts_;
+  bool requires_keys_ = false;
   std::unique_ptr<declaration::PriorityRanks> ranks_;  // Only with accounts.
   admission::FairShare fair_share_;
   declaration::Version version_ = 0;
--- a/tests/declaration/client_account_test.cc
+++ b/tests/declaration/client_account_test.cc
@@ -49,13 +49,26 @@
   Declaration before;
   before.accounts = ValidAccounts();
   Declaration after = before;
-  after.accounts[0].keys[0] = "key-9";
+  after.accounts->front().keys[0] = "key-9";
   const DeclarationChanges changes = FindChanges(before, after, 10);
   ASSERT_EQ(changes.entries.size(), 1U);
   EXPECT_NE(changes.entries[0].find("account school"), std::string::npos);
   EXPECT_EQ(changes.entries[0].find("key-"), std::string::npos) << changes.entries[0];
 }
 
+// Guards against a log that does not show that callers need keys from now on, or need none.
+TEST(ClientAccountTest, ChangesNameWhetherKeysAreRequired) {
+  Declaration before;
+  before.accounts = ValidAccounts();
+  Declaration after;
+  after.accounts = std::vector<ClientAccount>{};
+  for (const std::string& entry : FindChanges(before, after, 10).entries) {
+    EXPECT_NE(entry.find("removed"), std::string::npos) << entry;
+  }
+  const DeclarationChanges changes = FindChanges(after, {}, 10);
+  EXPECT_EQ(changes.entries, std::vector<std::string>{"keys: required -> not required"});
+}
+
 // Guards against an account's priority that makes all routes equal.
 TEST(PriorityRanksTest, ComparesAccountsBeforeRoutes) {
   Declaration declaration;
--- a/tests/declaration/declaration_review_test.cc
+++ b/tests/declaration/declaration_review_test.cc
@@ -36,14 +36,15 @@
       {"r", "below its target latency",
        [](Declaration& d) { d.routes[0].target_latency = std::chrono::seconds(2); }},
       {"b", "no route leads", [](Declaration& d) { d.routes[0].targets.pop_back(); }},
-      {"school", "it has no key", [](Declaration& d) { d.accounts[0].keys.clear(); }},
-      {"school", "burst is below", [](Declaration& d) { d.accounts[0].quota.burst = 0.5; }},
-      {"school", "no rate", [](Declaration& d) { d.accounts[0].quota.rate = 0; }},
+      {"school", "it has no key", [](Declaration& d) { d.accounts->front().keys.clear(); }},
+      {"school", "burst is below", [](Declaration& d) { d.accounts->front().quota.burst = 0.5; }},
+      {"school", "no rate", [](Declaration& d) { d.accounts->front().quota.rate = 0; }},
       {"accounts", "all routes are public", [](Declaration& d) { d.routes[0].is_public = true; }},
+      {"accounts", "no key is valid", [](Declaration& d) { d.accounts->clear(); }},
       {"r", "no client account",
        [](Declaration& d) {
          d.routes[0].is_public = true;
-         d.accounts.clear();
+         d.accounts.reset();
        }},
   };
   for (const Case& entry : cases) {
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -44,11 +44,12 @@
               R"("tenants":[{"name":"t","api_keys":["k1","k2"],"priority":1,"rate_per_s":2.5,)"
               R"("burst":7},{"name":"u","api_keys":[]}],)");
   const declaration::Declaration declaration = DecodeConfiguration(text);
-  ASSERT_EQ(declaration.accounts.size(), 2U);
-  EXPECT_EQ(declaration.accounts[0].keys, (std::vector<std::string>{"k1", "k2"}));
-  EXPECT_EQ(declaration.accounts[0].priority, 1U);
-  EXPECT_EQ(declaration.accounts[0].quota, (declaration::AccountQuota{2.5, 7}));
-  EXPECT_FALSE(declaration.accounts[1].quota.is_limited());
+  const std::vector<declaration::ClientAccount>& accounts = AccountsOf(declaration);
+  ASSERT_EQ(accounts.size(), 2U);
+  EXPECT_EQ(accounts[0].keys, (std::vector<std::string>{"k1", "k2"}));
+  EXPECT_EQ(accounts[0].priority, 1U);
+  EXPECT_EQ(accounts[0].quota, (declaration::AccountQuota{2.5, 7}));
+  EXPECT_FALSE(accounts[1].quota.is_limited());
   EXPECT_TRUE(declaration.routes[1].is_public);
   EXPECT_EQ(declaration.routes[1].repetition, declaration::Repetition::kIdempotent);
   for (const char* wrong : {R"("tenants":{},)", R"("tenants":[{"name":"t"}],)",
@@ -60,6 +61,29 @@
   }
 }
 
+// Guards against a node that asks for no keys because the last tenant was taken away.
+TEST(ConfigurationCodecTest, TellsAnEmptyListOfTenantsFromNone) {
+  EXPECT_FALSE(DecodeConfiguration(kConfiguration).accounts.has_value());
+  const auto decode = [](const char* field) {
+    std::string text = kConfiguration;
+    text.insert(text.find("\"hosts\""), field);
+    return DecodeConfiguration(text);
+  };
+  const declaration::Declaration declaration = decode(R"("tenants":[],)");
+  EXPECT_FALSE(declaration::FindFault(declaration));
+  ASSERT_TRUE(declaration.accounts.has_value());
+  EXPECT_TRUE(declaration.accounts->empty());
+  // Some encoders write an empty list this way; it must not lift the need for keys.
+  EXPECT_THROW(decode(R"("tenants":null,)"), declaration::DeclarationError);
+}
+
+// Guards against a health path that is ignored because it is no text.
+TEST(ConfigurationCodecTest, RefusesAHealthPathThatIsNoText) {
+  std::string text = kConfiguration;
+  text.insert(text.find("\"max_conns\""), R"("health_path":7,)");
+  EXPECT_THROW(DecodeConfiguration(text), declaration::DeclarationError);
+}
+
 // Guards against accepting a truncated configuration.
 TEST(ConfigurationCodecTest, RefusesTruncatedText) {
   const std::string text = kConfiguration;
--- a/tests/request_path/entry_accounts_test.cc
+++ b/tests/request_path/entry_accounts_test.cc
@@ -56,8 +56,16 @@
   }
 
   void Declare() {
+    declaration::Declaration declaration = RoutesOf(1);
+    declaration.accounts = {{"school", {"key-1", "key-2"}, 0, {5, 5}},
+                            {"village", {"key-3"}, std::nullopt, {}}};
+    entry_->SetDeclaration(declaration);
+  }
+
+  /** @return A declaration that says nothing about client accounts. */
+  static declaration::Declaration RoutesOf(declaration::Version version) {
     declaration::Declaration declaration;
-    declaration.version = 1;
+    declaration.version = version;
     declaration.services = {{"parts", 10}};
     declaration::Route route;
     route.host = "h";
@@ -70,9 +78,7 @@
     route.path_prefix = "/open/";
     route.is_public = true;
     declaration.routes.push_back(route);
-    declaration.accounts = {{"school", {"key-1", "key-2"}, 0, {5, 5}},
-                            {"village", {"key-3"}, std::nullopt, {}}};
-    entry_->SetDeclaration(declaration);
+    return declaration;
   }
 
   std::shared_ptr<std::optional<http_stream::ResponseMessage>> Ask(
@@ -125,6 +131,37 @@
   EXPECT_EQ(sent_.size(), 1U) << "a public route needs no key";
 }
 
+// Guards against an empty list of accounts that is read as if keys were not required.
+TEST_F(EntryAccountsTest, NoKeyIsValidAfterTheLastAccountWasWithdrawn) {
+  declaration::Declaration declaration = RoutesOf(2);
+  declaration.accounts = std::vector<declaration::ClientAccount>{};
+  entry_->SetDeclaration(declaration);
+  for (const http_stream::Fields& fields :
+       {Key("key-1"), Key("key-9"), Key(""), http_stream::Fields{}}) {
+    const auto answer = Ask(fields);
+    ASSERT_TRUE(*answer);
+    EXPECT_EQ((*answer)->status, 401U);
+  }
+  EXPECT_TRUE(sent_.empty());
+  Ask(Key("key-1"), "/open/1");
+  EXPECT_EQ(sent_.size(), 1U) << "a public route needs no key";
+}
+
+// Guards against keys that are valid again once a declaration says nothing about accounts.
+TEST_F(EntryAccountsTest, ADeclarationWithoutAccountsAcceptsNoKey) {
+  entry_->SetDeclaration(RoutesOf(2));
+  for (const char* key : {"key-1", "key-9"}) {
+    const auto answer = Ask(Key(key));
+    ASSERT_TRUE(*answer) << key;
+    EXPECT_EQ((*answer)->status, 401U) << key;
+  }
+  EXPECT_TRUE(sent_.empty());
+  Ask();
+  Ask(Key(""));
+  Ask({}, "/p/1", "gone.1");
+  EXPECT_EQ(sent_.size(), 3U) << "requests without a key need none";
+}
+
 // Guards against a key that reaches an upstream or a log, and against a caller that names an
 // account itself.
 TEST_F(EntryAccountsTest, ReplacesTheKeyByTheAccount) {
