Directory: Do not adopt an instance that may have left

A node was killed after it acknowledged the leave of its upstream.

The departure was recorded and recalled: the log shows departures_recalled with count 1, then instance_probed with 200, and no heartbeat, so a lost record and a late heartbeat are ruled out. A health answer does not tell the start of the process, and departures were compared with their start.

An instance of unknown start may be any process that left under its id. It is not adopted, and one that was adopted before the departures came is dropped; the next heartbeat tells which process it is.

Before: the three LocalInstanceTest cases and DeploymentTest.ARestartedNodeDoesNotOfferAnUpstreamThatLeft fail ("offers i-1, whose departure it has acknowledged").

--- a/libraries/directory/local_instance.cc
+++ b/libraries/directory/local_instance.cc
@@ -77,7 +77,7 @@
 }
 
 bool LocalInstance::Adopt(const std::string& instance, std::uint32_t slots, base::TimePoint now) {
-  if (has_been_heard() || instance.empty()) {
+  if (has_been_heard() || instance.empty() || FindDeparted({instance, 0}) != nullptr) {
     return false;
   }
   heartbeat_ = {};
@@ -118,7 +118,8 @@
 
 const LocalInstance::Departed* LocalInstance::FindDeparted(const Incarnation& incarnation) const {
   const auto found = std::find_if(departed_.begin(), departed_.end(), [&](const Departed& entry) {
-    return entry.incarnation == incarnation;
+    return entry.incarnation == incarnation ||
+           (incarnation.born == 0 && entry.incarnation.instance == incarnation.instance);
   });
   return found == departed_.end() ? nullptr : &*found;
 }
@@ -141,9 +142,16 @@
     RememberDeparted(left, base::TimePoint{});
   }
   const Departed* current = FindDeparted(incarnation());
-  if (current != nullptr && !leaving_since_) {
-    leaving_since_ = current->since;
+  if (current == nullptr || leaving_since_) {
+    return;
+  }
+  if (heartbeat_.born == 0) {
+    // Which process was adopted is not known before its first heartbeat.
+    heartbeat_ = {};
+    heard_at_ = {};
+    return;
   }
+  leaving_since_ = current->since;
 }
 
 base::Duration LocalInstance::WarmUpLeft(base::TimePoint now) const {
--- a/libraries/directory/local_instance.h
+++ b/libraries/directory/local_instance.h
@@ -51,8 +51,8 @@
   /**
    * Adopts an instance that was discovered at the upstream's address, before any heartbeat was
    * received. The first heartbeat replaces it.
-   * @return Whether it was adopted; false if an instance was heard or adopted before, or if
-   *     @p instance is empty.
+   * @return Whether it was adopted; false if an instance was heard or adopted before, if a process
+   *     under this id has left, or if @p instance is empty.
    */
   bool Adopt(const std::string& instance, std::uint32_t slots, base::TimePoint now);
 
@@ -112,6 +112,7 @@
   // Records a heartbeat of a process that seems older. Returns whether that process has outlived
   // the current one.
   bool HasOutlivedCurrent(const Heartbeat& heartbeat, base::TimePoint now);
+  // A process of unknown start may be any that has left under its id.
   const Departed* FindDeparted(const Incarnation& incarnation) const;
   void RememberDeparted(const Incarnation& incarnation, base::TimePoint since);
 
--- a/libraries/mesh/instance_probe.cc
+++ b/libraries/mesh/instance_probe.cc
@@ -49,14 +49,14 @@
   is_probing_ = false;
   const std::string* id = http_stream::FindField(answer.fields, names_.instance);
   const bool is_healthy = answer.status == kOk && id != nullptr && !id->empty();
-  base::Log(base::LogLevel::kInfo, "instance_probed",
-            {{"status", answer.status}, {"instance", id == nullptr ? "" : *id}});
-  if (!is_healthy) {
-    return;
-  }
-  const std::uint32_t slots =
-      ParseSlots(http_stream::FindField(answer.fields, names_.upstream_load));
-  if (instance_.Adopt(*id, slots, probed_at)) {
+  const bool is_adopted =
+      is_healthy &&
+      instance_.Adopt(*id, ParseSlots(http_stream::FindField(answer.fields, names_.upstream_load)),
+                      probed_at);
+  base::Log(
+      base::LogLevel::kInfo, "instance_probed",
+      {{"status", answer.status}, {"instance", id == nullptr ? "" : *id}, {"adopted", is_adopted}});
+  if (is_adopted) {
     hooks_.on_found();
   }
 }
--- a/tests/directory/directory_test.cc
+++ b/tests/directory/directory_test.cc
@@ -208,6 +208,35 @@
   EXPECT_FALSE(instance_.leaving_since());
 }
 
+// Guards against a restarted node that takes an instance back into use because its health answers
+// lag behind its leave. They name no process, so any one under the id may be meant.
+TEST_F(LocalInstanceTest, AHealthAnswerDoesNotBringBackAnInstanceThatLeft) {
+  instance_.AwaitDepartures();
+  instance_.RecallDepartures({{"i-1", 10}});
+  EXPECT_FALSE(instance_.Adopt("i-1", 4, now_));
+  EXPECT_FALSE(instance_.is_known());
+  EXPECT_TRUE(instance_.Adopt("i-2", 4, now_)) << "another instance has not left";
+}
+
+// Guards against the same with a health answer that comes before the recalled departures.
+TEST_F(LocalInstanceTest, RecalledDeparturesEndAnAdoption) {
+  instance_.AwaitDepartures();
+  EXPECT_TRUE(instance_.Adopt("i-1", 4, now_));
+  instance_.RecallDepartures({{"i-1", 10}});
+  EXPECT_FALSE(instance_.is_known());
+  EXPECT_FALSE(instance_.Adopt("i-1", 4, now_));
+  // A later process under the id is known by its start.
+  SendHeartbeat("i-1", 20, 1);
+  EXPECT_TRUE(instance_.is_known());
+  EXPECT_FALSE(instance_.leaving_since());
+}
+
+// Guards against a health answer that brings back an instance whose leave came before it.
+TEST_F(LocalInstanceTest, AHealthAnswerAfterTheLeaveOfAnUnknownProcessDoesNotMakeItServe) {
+  EXPECT_FALSE(instance_.HandleLeave({"i-1", 10}, now_));
+  EXPECT_FALSE(instance_.Adopt("i-1", 4, now_));
+}
+
 // Guards against a memory of departures that grows with the age of the fleet, and against one that
 // forgets the departures of a quiet node for those of a busy one.
 TEST(DepartureRegisterTest, KeepsTheNewestOfEachNode) {
--- a/tests/platform/deployment.cc
+++ b/tests/platform/deployment.cc
@@ -393,7 +393,10 @@
 void Deployment::CheckRecord(const std::string& node,
                              const directory::InstanceRecord& record) const {
   const auto& departed = hosts_.at(node).departed;
-  if (departed && record.instance == departed->instance && record.born == departed->born) {
+  // A record without a start is of a process that only its health answers have named.
+  const bool may_have_left =
+      departed && directory::MayBeSame({record.instance, record.born}, *departed);
+  if (may_have_left) {
     EXPECT_EQ(record.state, directory::InstanceState::kLeaving)
         << node << " offers " << record.instance << ", whose departure it has acknowledged";
   }
--- a/tests/platform/deployment_test.cc
+++ b/tests/platform/deployment_test.cc
@@ -385,6 +385,26 @@
   base::TimePoint many_lost_until_{};
 };
 
+// Guards against a node that is killed after it acknowledged the departure of its upstream, and
+// offers the upstream again because its health answers lag. Deployment checks each record.
+TEST(DeploymentTest, ARestartedNodeDoesNotOfferAnUpstreamThatLeft) {
+  Deployment deployment(7, 3);
+  deployment.StartAll();
+  const std::string node = deployment.nodes().front();
+  Operators operators(deployment);
+  operators.Found();
+  ASSERT_TRUE(deployment.AdvanceUntil(
+      seconds(20), [&] { return operators.newest() > 0 && deployment.ViewOf(node).has_upstream; }));
+  deployment.Advance(seconds(4));
+  deployment.ReplaceUpstream(node);
+  deployment.Advance(milliseconds(300));
+  deployment.Kill(node);
+  deployment.Advance(milliseconds(300));
+  deployment.StartNode(node);
+  deployment.Advance(seconds(6));
+  EXPECT_TRUE(deployment.ViewOf(node).has_upstream) << "its successor is known";
+}
+
 // Guards against a deployment that does not come back after a final fault, loses or alters what was
 // acknowledged, or answers an order wrongly, on days with random losses that the platform allows.
 TEST(DeploymentTest, RandomDaysKeepWhatWasAcknowledgedAndComeBack) {
