Directory: Remember each announcement of leaving that is acknowledged

- A leave without a start (its body is optional on the wire), heard before the node knew the upstream, was acknowledged and forgotten; the next heartbeat or health answer put the upstream in use.
Of an adopted upstream it was kept in memory only, and a restart of the node forgot it.
- An announcement that arrived late, of a process that seemed older because its clock had been set back, was acknowledged and recorded, but the node itself did not remember it.

A leave without a start is kept, blocks adoption, and is completed by the next heartbeat of that id within 3 s. It is acknowledged only once the start is known, since nothing else can be recorded; until then the answer is 503, which the sender repeats. Late announcements are remembered.

--- a/libraries/directory/local_instance.cc
+++ b/libraries/directory/local_instance.cc
@@ -14,13 +14,16 @@
   }
   const bool is_same_process =
       heartbeat.born == newest_start_ && heartbeat.instance == heartbeat_.instance;
-  if (is_same_process && heartbeat.sequence <= heartbeat_.sequence) {
+  const bool is_repeated = is_same_process && heartbeat.sequence <= heartbeat_.sequence;
+  const bool seems_older = !is_repeated && SeemsOlder(heartbeat);
+  if (is_repeated || (seems_older && !HasOutlivedCurrent(heartbeat, now))) {
+    // A process never serves again after this, in whatever order its messages arrive.
+    if (heartbeat.state == InstanceState::kLeaving) {
+      HandleLeave({heartbeat.instance, heartbeat.born}, now);
+    }
     return HeartbeatOutcome::kLate;
   }
-  if (SeemsOlder(heartbeat)) {
-    if (!HasOutlivedCurrent(heartbeat, now)) {
-      return HeartbeatOutcome::kLate;
-    }
+  if (seems_older) {
     base::Log(base::LogLevel::kWarning, "instance_clock_set_back",
               {{"instance", heartbeat.instance},
                {"born", static_cast<Json::UInt64>(heartbeat.born)},
@@ -40,6 +43,7 @@
   if (!is_same_process && !is_adopted) {
     leaving_since_.reset();
   }
+  IdentifyDeparted(incarnation(), now);
   // A process that is leaving never serves again; later serving heartbeats do not change that.
   if (const Departed* departed = FindDeparted(incarnation())) {
     leaving_since_ = departed->since;
@@ -97,15 +101,26 @@
   if (is_current && !leaving_since_) {
     leaving_since_ = now;
   }
-  RememberDeparted(incarnation, is_current ? *leaving_since_ : now);
+  const bool is_newest = incarnation.born == 0 && incarnation.instance == heartbeat_.instance;
+  RememberDeparted(is_newest ? Incarnation{heartbeat_.instance, heartbeat_.born} : incarnation,
+                   is_current ? *leaving_since_ : now);
   if (!is_current) {
     return false;
   }
-  RememberDeparted(this->incarnation(), *leaving_since_);
   heard_at_ = now;
   return true;
 }
 
+Incarnation LocalInstance::Identify(const std::string& instance) const {
+  if (heartbeat_.instance == instance && heartbeat_.born != 0) {
+    return {instance, heartbeat_.born};
+  }
+  const auto left = std::find_if(departed_.rbegin(), departed_.rend(), [&](const Departed& entry) {
+    return entry.incarnation.instance == instance && entry.incarnation.born != 0;
+  });
+  return left == departed_.rend() ? Incarnation{instance, 0} : left->incarnation;
+}
+
 bool LocalInstance::ExpireIfSilent(base::TimePoint now) {
   if (instance().empty() || now - heard_at_ < silence_limit_) {
     return false;
@@ -124,9 +139,22 @@
   return found == departed_.end() ? nullptr : &*found;
 }
 
+void LocalInstance::IdentifyDeparted(const Incarnation& incarnation, base::TimePoint now) {
+  for (Departed& entry : departed_) {
+    if (entry.incarnation == Incarnation{incarnation.instance, 0} &&
+        now - entry.since < kIdentificationTime) {
+      entry.incarnation = incarnation;
+    }
+  }
+}
+
 void LocalInstance::RememberDeparted(const Incarnation& incarnation, base::TimePoint since) {
-  // Without its start, a process cannot be told from a later one under the same id.
-  if (incarnation.born == 0 || FindDeparted(incarnation) != nullptr) {
+  const auto known = std::find_if(departed_.begin(), departed_.end(), [&](const Departed& entry) {
+    return entry.incarnation == incarnation;
+  });
+  if (known != departed_.end()) {
+    // The announcement of a process that is not identified yet is repeated.
+    known->since = incarnation.born == 0 ? since : known->since;
     return;
   }
   departed_.push_back({incarnation, since});
--- a/libraries/directory/local_instance.h
+++ b/libraries/directory/local_instance.h
@@ -59,6 +59,10 @@
   /** Handles the announcement that @p incarnation leaves. @return Whether it is the known one. */
   bool HandleLeave(const Incarnation& incarnation, base::TimePoint now);
 
+  /** @return The newest process known under @p instance, which may have left; with a start of 0 if
+   * none is known. */
+  Incarnation Identify(const std::string& instance) const;
+
   /** Removes the instance if it has been silent for too long. @return Whether it was removed. */
   bool ExpireIfSilent(base::TimePoint now);
 
@@ -114,11 +118,17 @@
   bool HasOutlivedCurrent(const Heartbeat& heartbeat, base::TimePoint now);
   // A process of unknown start may be any that has left under its id.
   const Departed* FindDeparted(const Incarnation& incarnation) const;
+  // Completes the leave of a process whose start was not known by its first heartbeat since then.
+  void IdentifyDeparted(const Incarnation& incarnation, base::TimePoint now);
   void RememberDeparted(const Incarnation& incarnation, base::TimePoint since);
 
   // Number of processes remembered as having left. Releases follow each other more slowly than
   // heartbeats can be delayed.
   static constexpr std::size_t kMaxDeparted = 8;
+  // Time for which a heartbeat is taken to be of the process that left under its id without a
+  // start. It covers two heartbeat intervals; a successor is heard later, since an instance serves
+  // for some seconds after its leave.
+  static constexpr std::chrono::milliseconds kIdentificationTime{3000};
 
   std::string service_;
   base::Duration silence_limit_;
--- a/libraries/mesh/node_presence.cc
+++ b/libraries/mesh/node_presence.cc
@@ -170,15 +170,13 @@
 void NodePresence::HandleLeave(const directory::Incarnation& incarnation,
                                const AnnouncementCallback& callback) {
   const bool is_known = instance_.HandleLeave(incarnation, hooks_.clock());
+  const directory::Incarnation departed =
+      incarnation.born == 0 ? instance_.Identify(incarnation.instance) : incarnation;
   base::Log(base::LogLevel::kInfo, "instance_left",
-            {{"instance", incarnation.instance},
-             {"born", static_cast<Json::UInt64>(incarnation.born)},
+            {{"instance", departed.instance},
+             {"born", static_cast<Json::UInt64>(departed.born)},
              {"known", is_known}});
   PublishRecord();
-  directory::Incarnation departed = incarnation;
-  if (departed.born == 0 && is_known) {
-    departed = instance_.incarnation();
-  }
   AcknowledgeDeparture(departed, callback);
 }
 
@@ -186,8 +184,9 @@
 void NodePresence::AcknowledgeDeparture(const directory::Incarnation& departed,
                                         const AnnouncementCallback& callback) {
   if (departed.born == 0) {
-    // Without its start the process cannot be told from its successor, so there is nothing to keep.
-    callback(AnnouncementOutcome::kTaken);
+    // Without its start the process cannot be told from its successor. Its next heartbeat states
+    // it, and the announcement is repeated as long as it is not acknowledged.
+    callback(AnnouncementOutcome::kNotRecorded);
     return;
   }
   departures_.Record(departed, [callback](RecordOutcome outcome) {
--- a/libraries/mesh/node_presence.h
+++ b/libraries/mesh/node_presence.h
@@ -22,7 +22,7 @@
 enum class AnnouncementOutcome {
   kTaken,         // It may be acknowledged.
   kOtherService,  // Refused: it is of a service other than the one of this host.
-  kNotRecorded,   // The control hosts did not confirm a departure in time.
+  kNotRecorded,   // The process is not identified, or the control hosts did not confirm in time.
 };
 
 /** Receives the result of an announcement. Called exactly once. */
--- a/tests/directory/directory_test.cc
+++ b/tests/directory/directory_test.cc
@@ -225,6 +225,7 @@
   instance_.RecallDepartures({{"i-1", 10}});
   EXPECT_FALSE(instance_.is_known());
   EXPECT_FALSE(instance_.Adopt("i-1", 4, now_));
+  EXPECT_EQ(instance_.Identify("i-1"), (Incarnation{"i-1", 10}));
   // A later process under the id is known by its start.
   SendHeartbeat("i-1", 20, 1);
   EXPECT_TRUE(instance_.is_known());
@@ -235,6 +236,43 @@
 TEST_F(LocalInstanceTest, AHealthAnswerAfterTheLeaveOfAnUnknownProcessDoesNotMakeItServe) {
   EXPECT_FALSE(instance_.HandleLeave({"i-1", 10}, now_));
   EXPECT_FALSE(instance_.Adopt("i-1", 4, now_));
+  EXPECT_FALSE(instance_.HandleLeave({"i-2", 0}, now_));
+  EXPECT_FALSE(instance_.Adopt("i-2", 4, now_));
+}
+
+// Guards against a heartbeat that brings back an instance which has just left without telling its
+// start, before the node had heard of it.
+TEST_F(LocalInstanceTest, TheHeartbeatAfterALeaveWithoutAStartTellsWhichProcessLeft) {
+  EXPECT_FALSE(instance_.HandleLeave({"i-1", 0}, now_));
+  now_ += seconds(1);
+  SendHeartbeat("i-1", 10, 25);
+  EXPECT_EQ(instance_.leaving_since(), now_ - seconds(1));
+  SendHeartbeat("i-1", 20, 1);
+  EXPECT_FALSE(instance_.leaving_since()) << "its successor serves";
+  EXPECT_EQ(instance_.Identify("i-1"), (Incarnation{"i-1", 20}));
+  EXPECT_EQ(instance_.Identify("i-3"), (Incarnation{"i-3", 0}));
+}
+
+// Guards against a successor under the same id that is never used because of a leave long ago.
+TEST_F(LocalInstanceTest, ALeaveWithoutAStartIsNotThatOfALaterProcess) {
+  EXPECT_FALSE(instance_.HandleLeave({"i-1", 0}, now_));
+  now_ += seconds(5);
+  SendHeartbeat("i-1", 10, 1);
+  EXPECT_FALSE(instance_.leaving_since());
+}
+
+// Guards against a process that announced its leaving while another one was current, because of a
+// clock that was set back, and that is used once the other one has fallen silent.
+TEST_F(LocalInstanceTest, ALateAnnouncementOfLeavingIsRemembered) {
+  SendHeartbeat("i-1", 5000, 9);
+  EXPECT_EQ(SendHeartbeat("i-2", 2000, 1, InstanceState::kLeaving), HeartbeatOutcome::kLate);
+  for (std::uint64_t sequence = 2; sequence <= 6; ++sequence) {
+    now_ += milliseconds(1500);
+    instance_.ExpireIfSilent(now_);
+    SendHeartbeat("i-2", 2000, sequence);
+  }
+  ASSERT_EQ(instance_.instance(), "i-2");
+  EXPECT_TRUE(instance_.leaving_since());
 }
 
 // Guards against a memory of departures that grows with the age of the fleet, and against one that
