Tests: Show that dense crowds exhaust the memory of a node

The crowds of 40 connections of a kind pass, but with more connections at once a node still takes more than the machine that the test stands for. Added: the same kinds with 200 connections in a wave, slow readers, callers that stay idle after a long answer, bodies of many sizes that stop short of their end, and all kinds mixed with 70 connections of each. The setting `connections` is lowered to 700; the bound on memory is the one of the other crowds, eight times held_megabytes. Crowd and bounds are fixed with this commit.

--- a/tests/client_limits/client_crowd.cc
+++ b/tests/client_limits/client_crowd.cc
@@ -38,10 +38,18 @@
 // Connections of each kind of client, and how often they are replaced by new ones.
 constexpr int kConnections = 40;
 constexpr int kWaves = 2;
+// A dense crowd has these in a wave, and a setting that is as much lower than its default as
+// kHeldMegabytes is: the node takes no more connections than this.
+constexpr int kDenseConnections = 200;
+constexpr int kDenseMixedConnections = 70;  // Of each kind.
+constexpr std::size_t kDenseConnectionLimit = 700;
+constexpr std::size_t kMaximumDenseDescriptors = kDenseConnectionLimit + 100;
 constexpr std::size_t kAnswerBytes = kMebibyte / 2;
 constexpr int kUnreadAnswers = 30;  // Of each connection.
 constexpr std::size_t kStalledBodyBytes = 7 * kMebibyte;
 
+constexpr std::string_view kDensePrefix = "dense_";
+
 constexpr std::array<const char*, 3> kAddresses = {"127.31.0.1", "127.31.0.2", "127.31.0.3"};
 
 tcp::endpoint At(const std::string& address, std::uint16_t port) {
@@ -88,6 +96,7 @@
       : program_(std::move(program)), folder_(std::move(folder)) {}
 
   int Run(const std::string& crowd) {
+    is_dense_ = crowd.starts_with(kDensePrefix);
     std::filesystem::remove_all(folder_);
     std::filesystem::create_directories(folder_);
     StartProcesses();
@@ -143,6 +152,9 @@
             fmt::format("callers = {0}:{1}\nreadiness = {0}:{2}\n", address, kCallers, kReadiness);
         text += fmt::format("[upstream]\naddress = {}:{}\nservice = s{}\n", address, kUpstream, i);
         text += fmt::format("[limits]\nheld_megabytes = {}\n", kHeldMegabytes);
+        if (is_dense_) {
+          text += fmt::format("connections = {}\n", kDenseConnectionLimit);
+        }
       }
       text += fmt::format("[control]\nseeds = {}:{}\nfirst_start = yes\n", kAddresses[0], kCalls);
       if (is_control) {
@@ -260,7 +272,10 @@
 
   // Each wave comes on new connections, while those of the last one are still open.
   void SendCrowd(const std::string& crowd) {
-    const bool is_all = crowd == "all";
+    const std::string kind = is_dense_ ? crowd.substr(kDensePrefix.size()) : crowd;
+    const bool is_all = kind == "all";
+    const int connections = is_dense_ ? (is_all ? kDenseMixedConnections : kDenseConnections)
+                                      : (is_all ? kConnections / 2 : kConnections);
     const std::map<std::string, std::function<CrowdPlan(const std::string& id)>> kinds = {
         {"stalled_chunks",
          [](const std::string& id) {
@@ -306,9 +321,37 @@
            return plan;
          }},
     };
-    for (const auto& [name, plan_of] : kinds) {
-      if (is_all || name == crowd) {
-        Add(is_all ? kConnections / 2 : kConnections, plan_of);
+    // Kinds that only dense crowds have.
+    const std::map<std::string, std::function<CrowdPlan(const std::string& id)>> dense_kinds = {
+        {"slow_readers",
+         [](const std::string& id) {
+           CrowdPlan plan;
+           for (int i = 0; i < kUnreadAnswers; ++i) {
+             plan.head += HeadOf("GET", fmt::format("/near/long/{}-{}", id, i),
+                                 fmt::format("{}-{}", id, i), "");
+           }
+           plan.read_pause = milliseconds(20);
+           return plan;
+         }},
+        {"idle_after_answers",
+         [](const std::string& id) {
+           return CrowdPlan{HeadOf("GET", "/near/long/" + id, id, ""), "", 0};
+         }},
+        {"short_of_their_end",
+         [](const std::string& id) {
+           // Bodies of many sizes, in chunks of many sizes, of which the end is missing.
+           const std::size_t number = std::hash<std::string>()(id);
+           const std::size_t body = (std::size_t{4} << 10U) << (number % 11);
+           const std::size_t chunk = std::max<std::size_t>(body >> (number % 5), 1);
+           return CrowdPlan{HeadOf("POST", "/far/" + id, id, "Transfer-Encoding: chunked\r\n"),
+                            Chunk(chunk), body / chunk};
+         }},
+    };
+    for (const auto& group : {kinds, dense_kinds}) {
+      for (const auto& [name, plan_of] : group) {
+        if (name == kind || (is_all && (is_dense_ || kinds.contains(name)))) {
+          Add(connections, plan_of);
+        }
       }
     }
     for (int i = 0; i < 30; ++i) {
@@ -332,7 +375,7 @@
         }
       }
       const std::size_t descriptors = OpenDescriptors(process);
-      if (descriptors > kMaximumDescriptors) {
+      if (descriptors > (is_dense_ ? kMaximumDenseDescriptors : kMaximumDescriptors)) {
         Report(fmt::format("h{} has {} open descriptors", i, descriptors));
       }
     }
@@ -346,6 +389,7 @@
   std::vector<std::shared_ptr<CrowdClient>> clients_;
   std::map<std::size_t, std::size_t> highest_megabytes_;
   std::uint64_t sequence_ = 0;
+  bool is_dense_ = false;
   int long_answers_ = 0;
   int problems_ = 0;
 };
--- a/tests/client_limits/crowd_client.cc
+++ b/tests/client_limits/crowd_client.cc
@@ -5,14 +5,14 @@
 namespace borageloft::client_limits {
 
 CrowdClient::CrowdClient(asio::io_context& context, CrowdPlan plan)
-    : plan_(std::move(plan)), socket_(context) {}
+    : plan_(std::move(plan)), socket_(context), pause_(context) {}
 
 void CrowdClient::Start(const asio::ip::tcp::endpoint& target) {
   socket_.async_connect(target, [self = shared_from_this()](const asio::error_code& error) {
     if (!error) {
       self->Write(self->plan_.head);
       if (self->plan_.reads_answers) {
-        self->Read();
+        self->ReadAfterPause();
       }
     }
   });
@@ -21,6 +21,7 @@
 void CrowdClient::Close() {
   asio::error_code ignored;
   socket_.close(ignored);
+  pause_.cancel();
 }
 
 void CrowdClient::Write(std::string bytes) {
@@ -38,9 +39,22 @@
   socket_.async_read_some(asio::buffer(input_),
                           [self = shared_from_this()](const asio::error_code& error, std::size_t) {
                             if (!error) {
-                              self->Read();
+                              self->ReadAfterPause();
                             }
                           });
 }
 
+void CrowdClient::ReadAfterPause() {
+  if (plan_.read_pause == std::chrono::milliseconds::zero()) {
+    Read();
+    return;
+  }
+  pause_.expires_after(plan_.read_pause);
+  pause_.async_wait([self = shared_from_this()](const asio::error_code& error) {
+    if (!error) {
+      self->Read();
+    }
+  });
+}
+
 }  // namespace borageloft::client_limits
--- a/tests/client_limits/crowd_client.h
+++ b/tests/client_limits/crowd_client.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <asio.hpp>
+#include <chrono>
 #include <cstddef>
 #include <memory>
 #include <string>
@@ -15,6 +16,7 @@
   std::string piece;       ///< Sent again and again after the head.
   std::size_t pieces = 0;  ///< After these the client stops and keeps the connection open.
   bool reads_answers = true;
+  std::chrono::milliseconds read_pause{0};  ///< Before each read, of at most 4 KiB.
 };
 
 /** A client that does not keep to the limits of a node. It never closes its connection itself. */
@@ -28,9 +30,11 @@
  private:
   void Write(std::string bytes);
   void Read();
+  void ReadAfterPause();
 
   CrowdPlan plan_;
   asio::ip::tcp::socket socket_;
+  asio::steady_timer pause_;
   std::string output_;
   std::size_t sent_pieces_ = 0;
   std::array<char, 4096> input_{};
