HttpStream, RequestPath, Wire: Free the memory of buffers that are emptied

Many clients outside the limits took several times the memory that a node counts: 79 MiB with held_megabytes 5 after 400 callers had read one long answer each and stayed idle, 53 MiB under bodies that were refused.

clear() keeps the memory of a std::string, and so does the assignment of an empty one, since libstdc++ copies a short text into the memory that is there. So a connection kept the largest body that it had refused, the longest response that it had written (callers) or the longest request (upstream, twice), and a connection between nodes its longest frame. heaptrack on dense_stalled_chunks: 38.6 of 41 MB at the peak were bodies of requests that were no longer counted.

Such buffers are swapped with an empty one (base::ReleaseBuffer), also in the reader of frames beyond 16 KiB. Responses wait one by one and not in one text that doubles as it grows.

--- a/libraries/base/base.h
+++ b/libraries/base/base.h
@@ -1,8 +1,10 @@
 #ifndef BORAGELOFT_BASE_BASE_H_
 #define BORAGELOFT_BASE_BASE_H_
 
-/** @file Public header of the base library: checks, errors, time, randomness, locks and logs. */
+/** @file Public header of the base library: checks, errors, time, randomness, buffers, locks and
+ * logs. */
 
+#include "libraries/base/buffer.h"
 #include "libraries/base/error.h"
 #include "libraries/base/hash.h"
 #include "libraries/base/log.h"
--- a/libraries/http_stream/message_parser.cc
+++ b/libraries/http_stream/message_parser.cc
@@ -227,10 +227,10 @@
   parser_.data = this;
   syntax_ = ResponseSyntax(limits_.header_bytes);
   state_ = ParseState::kIdle;
-  target_.clear();
-  fields_.clear();
+  base::ReleaseBuffer(target_);
+  Fields().swap(fields_);
   is_in_value_ = false;
-  body_.clear();
+  base::ReleaseBuffer(body_);
   header_bytes_ = 0;
   stated_body_bytes_ = 0;
   interim_responses_ = 0;
@@ -241,10 +241,7 @@
   status_ = 0;
 }
 
-void MessageParser::Discard() {
-  Reset();
-  body_ = std::string();
-}
+void MessageParser::Discard() { Reset(); }
 
 RequestMessage MessageParser::TakeRequest() {
   VERIFY(kind_ == MessageKind::kRequest && state_ == ParseState::kComplete);
--- a/libraries/http_stream/session.cc
+++ b/libraries/http_stream/session.cc
@@ -13,6 +13,9 @@
 constexpr unsigned kServiceUnavailable = 503;
 // The bodies held now are about to be passed on.
 constexpr const char* kRetryAfterSeconds = "0.5";
+// Responses are joined up to this size, so that one system call writes several. Longer ones stay
+// apart: a text that grows takes up to twice its size.
+constexpr std::size_t kJoinedBytes = std::size_t{16} << 10U;
 
 base::TimePoint Now() { return base::SystemClock()(); }
 
@@ -68,6 +71,9 @@
   if (!is_discarding_input_ && !ReserveInput()) {
     RefuseForBytes();
   }
+  if (input_.empty()) {
+    base::ReleaseBuffer(input_);
+  }
   // While the pipeline is full, further requests stay in the input buffer. Reading continues until
   // the buffer is full, so that a disconnect by the caller is detected.
   if (input_.size() < kInputBufferBytes) {
@@ -156,7 +162,7 @@
     return;
   }
   has_continued_ = true;
-  output_ += "HTTP/1.1 100 Continue\r\n\r\n";
+  AddOutput("HTTP/1.1 100 Continue\r\n\r\n");
   Write();
 }
 
@@ -211,7 +217,7 @@
   ReleaseRequest(input_bytes_);
   parser_.Discard();
   is_discarding_input_ = true;
-  input_ = {};
+  base::ReleaseBuffer(input_);
   PendingRequest pending;
   pending.number = next_number_++;
   pending.closes_connection = true;
@@ -262,10 +268,10 @@
     const bool is_last =
         pipeline_.empty() && input_.empty() && parser_.state() == ParseState::kIdle;
     const bool closes_connection = pending.closes_connection || (server_->is_draining_ && is_last);
-    output_ += SerializeResponse(*pending.response,
-                                 closes_connection ? Persistence::kClose : Persistence::kKeepAlive,
-                                 pending.body_use);
-    output_counted_ += pending.response_bytes;
+    AddOutput(SerializeResponse(*pending.response,
+                                closes_connection ? Persistence::kClose : Persistence::kKeepAlive,
+                                pending.body_use),
+              pending.response_bytes);
     closes_after_write_ = closes_connection;
     is_discarding_input_ = is_discarding_input_ || closes_connection;
     has_responses = true;
@@ -287,20 +293,29 @@
   }
 }
 
+void Session::AddOutput(std::string bytes, std::size_t counted) {
+  if (!output_.empty() && output_.back().bytes.size() + bytes.size() <= kJoinedBytes) {
+    output_.back().bytes += bytes;
+    output_.back().counted += counted;
+  } else {
+    output_.push_back({std::move(bytes), counted});
+  }
+}
+
 void Session::Write() {
   if (is_writing_ || is_closed_ || output_.empty()) {
     return;
   }
   is_writing_ = true;
-  write_buffer_ = std::exchange(output_, {});
-  writing_counted_ = std::exchange(output_counted_, 0);
+  writing_ = std::move(output_.front());
+  output_.erase(output_.begin());
   written_ = 0;
   WriteSome();
 }
 
 void Session::WriteSome() {
   socket_.async_write_some(
-      asio::buffer(write_buffer_.data() + written_, write_buffer_.size() - written_),
+      asio::buffer(writing_.bytes.data() + written_, writing_.bytes.size() - written_),
       [self = shared_from_this()](const asio::error_code& error, std::size_t count) {
         if (self->is_closed_) {
           return;
@@ -311,7 +326,7 @@
         }
         self->written_ += count;
         self->progressed_at_ = Now();
-        if (self->written_ < self->write_buffer_.size()) {
+        if (self->written_ < self->writing_.bytes.size()) {
           self->WriteSome();
         } else {
           self->is_writing_ = false;
@@ -321,8 +336,8 @@
 }
 
 void Session::FinishWriting() {
-  write_buffer_ = {};
-  ReleaseUnread(std::exchange(writing_counted_, 0));
+  base::ReleaseBuffer(writing_.bytes);
+  ReleaseUnread(std::exchange(writing_.counted, 0));
   if (!output_.empty()) {
     Write();
   } else if (closes_after_write_) {
@@ -368,7 +383,7 @@
     } else if (self->parser_.state() == ParseState::kHeader) {
       ResponseMessage response;
       response.status = kRequestTimeout;
-      self->output_ += SerializeResponse(response, Persistence::kClose);
+      self->AddOutput(SerializeResponse(response, Persistence::kClose));
       self->is_discarding_input_ = true;
       self->closes_after_write_ = true;
       self->Write();
@@ -418,9 +433,9 @@
   socket_.close(ignored);
   AbandonAll();
   // Operations that are still under way keep this object alive for a while.
-  write_buffer_ = {};
-  output_ = {};
-  input_ = {};
+  base::ReleaseBuffer(writing_.bytes);
+  output_.clear();
+  base::ReleaseBuffer(input_);
   parser_.Discard();
   if (server_ != nullptr) {
     const auto from_address = server_->connections_by_address_.find(peer_address_);
--- a/libraries/http_stream/session.h
+++ b/libraries/http_stream/session.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "libraries/http_stream/server.h"
 
@@ -32,6 +33,12 @@
   void Detach();
 
  private:
+  // Serialized responses that are written together.
+  struct Output {
+    std::string bytes;
+    std::size_t counted = 0;  // Size of the responses, as counted at the server.
+  };
+
   struct PendingRequest {
     std::uint64_t number = 0;
     BodyUse body_use = BodyUse::kWrite;
@@ -59,6 +66,8 @@
   void RefuseForBytes();
   void RefuseInput(ResponseMessage response);
   void FlushResponses();
+  // Queues bytes that count as @p counted at the server until they are written.
+  void AddOutput(std::string bytes, std::size_t counted = 0);
   void Write();
   void WriteSome();
   void FinishWriting();
@@ -82,12 +91,10 @@
   std::string input_;
   std::deque<PendingRequest> pipeline_;
   std::uint64_t next_number_ = 1;
-  std::string output_;
-  std::string write_buffer_;
-  std::size_t written_ = 0;          // Of the write buffer.
-  std::size_t output_counted_ = 0;   // Of the responses in `output_`, as counted at the server.
-  std::size_t writing_counted_ = 0;  // Of the responses in the write buffer.
-  std::size_t unread_bytes_ = 0;     // Of all responses that are not written.
+  std::vector<Output> output_;  // In the order of the requests.
+  Output writing_;
+  std::size_t written_ = 0;       // Of the bytes that are being written.
+  std::size_t unread_bytes_ = 0;  // Of all responses that are not written.
   base::TimePoint progressed_at_{};
   base::TimePoint received_at_{};  // When bytes last arrived.
   std::size_t request_bytes_ = 0;  // Of the request being read, as counted at the server.
--- a/libraries/request_path/upstream_connection.cc
+++ b/libraries/request_path/upstream_connection.cc
@@ -119,8 +119,7 @@
     return;
   }
   http_stream::SetField(message_.fields, pool_->names_.timeout_ms, std::to_string(left.count()));
-  output_ = http_stream::SerializeRequest(message_);
-  message_ = {};
+  output_ = http_stream::SerializeRequest(std::exchange(message_, {}));
   is_writing_ = true;
   ++requests_;
   is_written_ = true;  // From here on the upstream may receive the request.
@@ -132,6 +131,7 @@
 
 void UpstreamConnection::HandleWritten(const asio::error_code& error) {
   is_writing_ = false;
+  base::ReleaseBuffer(output_);
   if (error) {
     // The answer may have arrived before the error; the read handler decides.
     has_write_failed_ = true;
@@ -362,7 +362,6 @@
     Close();
   } else {
     usable_until_ = Now() + idle_limit_;
-    output_.clear();
     pool_->Return(self);
     Read();
   }
--- a/libraries/wire/frame_codec.cc
+++ b/libraries/wire/frame_codec.cc
@@ -15,6 +15,8 @@
 // Bounds of one payload beside its length: they keep a hostile frame from claiming memory.
 constexpr std::size_t kMaximumArray = 4096;
 constexpr std::size_t kMaximumDepth = 8;
+// Memory that a reader keeps between frames; a longer frame is an exception.
+constexpr std::size_t kKeptBytes = std::size_t{16} << 10U;
 
 /** Writes the fields of a frame in order. */
 class FieldWriter {
@@ -305,6 +307,10 @@
   }
   Frame frame = DecodeFrame(rest.substr(kLengthPrefix, length));
   consumed_ += kLengthPrefix + length;
+  if (consumed_ == buffer_.size()) {
+    consumed_ = 0;
+    base::ReleaseBuffer(buffer_, kKeptBytes);
+  }
   return frame;
 }
 
