--- a/libraries/mesh/mesh_node.cc
+++ b/libraries/mesh/mesh_node.cc
@@ -35,6 +35,11 @@
 // Part of the drain time that is reserved for the shutdown of the process.
 constexpr std::chrono::milliseconds kDrainMargin{500};
 constexpr std::size_t kMaximumCallBodyBytes = 64 * 1024;
+// Bounds of each server that is not for callers: the upstream, the platform and operators need a
+// few connections.
+constexpr std::size_t kMaximumCallConnections = 256;
+constexpr std::size_t kMinimumCallBytes = std::size_t{1} << 20U;
+constexpr std::size_t kCallBytesShare = 8;  // Divisor of the bytes held for callers.
 
 std::uint64_t UnixMillisecondsNow() {
   return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -222,6 +227,9 @@
   caller_server_->Listen(settings.callers);
   http_stream::ServerLimits call_limits;
   call_limits.message.body_bytes = kMaximumCallBodyBytes;
+  call_limits.connections = kMaximumCallConnections;
+  call_limits.connections_per_address = kMaximumCallConnections;
+  call_limits.held_bytes = std::max(kMinimumCallBytes, held_bytes_ / kCallBytesShare);
   const auto handle_call = [this](const http_stream::RequestMessage& message, base::TimePoint,
                                   const http_stream::Exchange& exchange) {
     HandleCall(message, exchange);
--- a/tests/client_limits/client_crowd.cc
+++ b/tests/client_limits/client_crowd.cc
@@ -45,7 +45,8 @@
 constexpr std::size_t kDenseConnectionLimit = 700;
 constexpr std::size_t kMaximumDenseDescriptors = kDenseConnectionLimit + 100;
 constexpr std::size_t kAnswerBytes = kMebibyte / 2;
-constexpr int kUnreadAnswers = 30;  // Of each connection.
+constexpr int kUnreadAnswers = 30;      // Of each connection.
+constexpr int kPipelinedRequests = 31;  // Behind the first one of each connection.
 constexpr std::size_t kStalledBodyBytes = 7 * kMebibyte;
 
 constexpr std::string_view kDensePrefix = "dense_";
@@ -186,7 +187,10 @@
           const bool is_long = message.target.find("long") != std::string::npos;
           response.body = is_long ? std::string(kAnswerBytes, 'a') : "short";
           // Spread over time, so that the nodes receive each of them whole.
-          const auto delay = milliseconds(is_long ? 5 * (++long_answers_ % 400) : 0);
+          const bool is_late = message.target.find("late") != std::string::npos;
+          const auto delay = milliseconds(is_late   ? 4000
+                                          : is_long ? 5 * (++long_answers_ % 400)
+                                                    : 0);
           const auto timer = std::make_shared<asio::steady_timer>(context_, delay);
           timer->async_wait(
               [timer, exchange, response](const asio::error_code&) { exchange.Respond(response); });
@@ -266,7 +270,7 @@
     for (int i = 0; i < count; ++i) {
       const std::string id = fmt::format("c{}", ++sequence_);
       clients_.push_back(std::make_shared<CrowdClient>(context_, plan_of(id)));
-      clients_.back()->Start(At(kAddresses[1], kCallers));
+      clients_.back()->Start(kAddresses[1], kCallers);
     }
   }
 
@@ -321,7 +325,7 @@
            return plan;
          }},
     };
-    // Kinds that only dense crowds have.
+    // Kinds that only dense crowds have, also the mixed one.
     const std::map<std::string, std::function<CrowdPlan(const std::string& id)>> dense_kinds = {
         {"slow_readers",
          [](const std::string& id) {
@@ -347,6 +351,35 @@
                             Chunk(chunk), body / chunk};
          }},
     };
+    // Kinds that come alone.
+    const std::map<std::string, std::function<CrowdPlan(const std::string& id)>> single_kinds = {
+        {"pipelined_requests",
+         [](const std::string& id) {
+           // Short requests that wait behind a late one.
+           CrowdPlan plan;
+           plan.head = HeadOf("GET", "/near/late/" + id, id, "");
+           for (int i = 0; i < kPipelinedRequests; ++i) {
+             plan.head +=
+                 HeadOf("GET", fmt::format("/near/{}-{}", id, i), fmt::format("{}-{}", id, i), "");
+           }
+           return plan;
+         }},
+        {"stalled_calls",
+         [](const std::string&) {
+           // Announcements of an upstream that stop short of their end.
+           return CrowdPlan{
+               "POST /borageloft/rpc?call=instances.heartbeat&of=i-s1 HTTP/1.1\r\nHost: node\r\n"
+               "Content-Length: 65000\r\n\r\n",
+               std::string(64'000, 'x'),
+               1,
+               true,
+               milliseconds(0),
+               kCalls};
+         }},
+    };
+    if (const auto found = single_kinds.find(kind); found != single_kinds.end()) {
+      Add(connections, found->second);
+    }
     for (const auto& group : {kinds, dense_kinds}) {
       for (const auto& [name, plan_of] : group) {
         if (name == kind || (is_all && (is_dense_ || kinds.contains(name)))) {
--- a/tests/client_limits/crowd_client.cc
+++ b/tests/client_limits/crowd_client.cc
@@ -7,7 +7,9 @@
 CrowdClient::CrowdClient(asio::io_context& context, CrowdPlan plan)
     : plan_(std::move(plan)), socket_(context), pause_(context) {}
 
-void CrowdClient::Start(const asio::ip::tcp::endpoint& target) {
+void CrowdClient::Start(const std::string& address, std::uint16_t callers_port) {
+  const asio::ip::tcp::endpoint target(asio::ip::make_address(address),
+                                       plan_.port == 0 ? callers_port : plan_.port);
   socket_.async_connect(target, [self = shared_from_this()](const asio::error_code& error) {
     if (!error) {
       self->Write(self->plan_.head);
--- a/tests/client_limits/crowd_client.h
+++ b/tests/client_limits/crowd_client.h
@@ -5,6 +5,7 @@
 #include <asio.hpp>
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -17,6 +18,7 @@
   std::size_t pieces = 0;  ///< After these the client stops and keeps the connection open.
   bool reads_answers = true;
   std::chrono::milliseconds read_pause{0};  ///< Before each read, of at most 4 KiB.
+  std::uint16_t port = 0;                   ///< Port to connect to; 0 for that of the callers.
 };
 
 /** A client that does not keep to the limits of a node. It never closes its connection itself. */
@@ -24,7 +26,8 @@
  public:
   CrowdClient(asio::io_context& context, CrowdPlan plan);
 
-  void Start(const asio::ip::tcp::endpoint& target);
+  /** @param callers_port Port of the callers at @p address. */
+  void Start(const std::string& address, std::uint16_t callers_port);
   void Close();
 
  private:
