HttpStream: Let stalled senders give way to ordinary requests

Callers that stop in the middle of their requests took all bytes that a node may hold, or all of its connections, and every other caller was refused until their idle time was up (15 s by default), also with short requests: bodies of 64 KiB may use the part that is kept for those.

Once bytes or connections are used up, connections without a request in progress of which less than 1 KiB has arrived in a second are closed, those first that hold the most for the longest time. Nothing is closed for a request that would not fit anyway, and a search that finds too few is not repeated for 50 ms. The table of connections by address kept an entry for each refused address; it no longer does.

Evidence: with a patience of an hour instead, ServerTest.StalledSendersGiveWayToOrdinaryRequests fails at "RunUntil( received_.size() == 1)".

--- a/libraries/http_stream/server.cc
+++ b/libraries/http_stream/server.cc
@@ -8,6 +8,7 @@
 
 #include "libraries/http_stream/session.h"
 #include "libraries/http_stream/slow_reader_policy.h"
+#include "libraries/http_stream/stalled_sender_policy.h"
 
 namespace borageloft::http_stream {
 
@@ -26,6 +27,8 @@
 constexpr int kSendBufferBytes = 128 * 1024;
 // Divisor for the part of the held bytes that is kept for short bodies.
 constexpr std::size_t kReservedShare = 8;
+// Time for which stalled senders are not sought again after too few were found.
+constexpr std::chrono::milliseconds kSeekInterval{50};
 
 }  // namespace
 
@@ -86,12 +89,15 @@
     }
     asio::error_code ignored;
     const std::string address = socket.remote_endpoint(ignored).address().to_string();
-    std::size_t& from_address = connections_by_address_[address];
-    if (sessions_.size() >= limits_.connections ||
-        from_address >= limits_.connections_per_address) {
+    const bool is_full =
+        sessions_.size() >= limits_.connections &&
+        !CloseStalledSenders(nullptr, [this] { return sessions_.size() < limits_.connections; });
+    const auto known = connections_by_address_.find(address);
+    const std::size_t from_address = known == connections_by_address_.end() ? 0 : known->second;
+    if (is_full || from_address >= limits_.connections_per_address) {
       ++counters_.connections_refused;
     } else {
-      ++from_address;
+      ++connections_by_address_[address];
       ++counters_.connections_opened;
       const std::uint64_t id = next_session_id_++;
       const auto session = std::make_shared<Session>(*this, id, std::move(socket));
@@ -103,10 +109,46 @@
 }
 
 bool Server::HasRoom(std::size_t request_bytes, std::size_t held_before) const {
+  return held_bytes_ - held_before + request_bytes <= RoomFor(request_bytes);
+}
+
+std::size_t Server::RoomFor(std::size_t request_bytes) const {
   // Otherwise a few long bodies would keep out the short requests of all other callers.
   const std::size_t reserve =
       request_bytes > ServerLimits::kSmallRequestBytes ? limits_.held_bytes / kReservedShare : 0;
-  return held_bytes_ - held_before + request_bytes <= limits_.held_bytes - reserve;
+  return limits_.held_bytes - reserve;
+}
+
+bool Server::MakeRoom(const Session& session, std::size_t request_bytes, std::size_t held_before) {
+  if (HasRoom(request_bytes, held_before)) {
+    return true;
+  }
+  return request_bytes <= RoomFor(request_bytes) &&
+         CloseStalledSenders(&session, [&] { return HasRoom(request_bytes, held_before); });
+}
+
+bool Server::CloseStalledSenders(const Session* session, const std::function<bool()>& is_enough) {
+  const base::TimePoint now = base::SystemClock()();
+  if (now - stalled_sought_at_ < kSeekInterval) {
+    return false;
+  }
+  std::vector<IncompleteRequest> incomplete;
+  for (const auto& [id, other] : sessions_) {
+    if (other.get() != session && other->is_incomplete()) {
+      incomplete.push_back({id, other->request_bytes(), other->advanced_at()});
+    }
+  }
+  for (const std::uint64_t id : SelectStalledSenders(incomplete, now, limits_.stall_patience)) {
+    const std::shared_ptr<Session> stalled = sessions_.at(id);
+    ++counters_.closed_stalled_senders;
+    LogClosing("request not sent in time for others", stalled->request_bytes());
+    stalled->Close();
+    if (is_enough()) {
+      return true;
+    }
+  }
+  stalled_sought_at_ = now;
+  return false;
 }
 
 void Server::LimitUnreadResponses() {
--- a/libraries/http_stream/server.h
+++ b/libraries/http_stream/server.h
@@ -74,6 +74,10 @@
   std::size_t connections = 3000;
   /** Maximum open connections of one address. */
   std::size_t connections_per_address = 3000;
+  /** Once the connections or the held bytes are used up, a connection whose request is incomplete
+   * is closed for another one if less than kProgressBytes of it have arrived in this time. */
+  base::Duration stall_patience = std::chrono::seconds(1);
+  static constexpr std::size_t kProgressBytes = std::size_t{1} << 10U;
 };
 
 /** Counters of a server, for metrics. */
@@ -83,8 +87,9 @@
   std::uint64_t requests = 0;
   std::uint64_t malformed = 0;
   std::uint64_t refused_for_bytes = 0;
-  std::uint64_t closed_slow_readers = 0;    ///< Their responses took too much memory or time.
-  std::uint64_t closed_stalled_bodies = 0;  ///< The caller stopped in the middle of a body.
+  std::uint64_t closed_slow_readers = 0;     ///< Their responses took too much memory or time.
+  std::uint64_t closed_stalled_bodies = 0;   ///< The caller stopped in the middle of a body.
+  std::uint64_t closed_stalled_senders = 0;  ///< Incomplete requests that made room for others.
   std::uint64_t abandoned = 0;
 };
 
@@ -136,8 +141,14 @@
   friend class Session;
 
   void Accept();
+  // Bytes that requests may hold together if one of this size is among them.
+  std::size_t RoomFor(std::size_t request_bytes) const;
   // Whether a request may grow from one size to another.
   bool HasRoom(std::size_t request_bytes, std::size_t held_before) const;
+  // The same, after closing stalled senders other than @p session if necessary.
+  bool MakeRoom(const Session& session, std::size_t request_bytes, std::size_t held_before);
+  // Closes stalled senders other than @p session until the condition is met. Returns whether it is.
+  bool CloseStalledSenders(const Session* session, const std::function<bool()>& is_enough);
   // Closes connections until the unread responses are within their limit.
   void LimitUnreadResponses();
   // Logs a connection that was closed to save memory or time, at most once a second.
@@ -156,6 +167,7 @@
   std::size_t held_bytes_ = 0;
   std::size_t unread_bytes_ = 0;
   std::unordered_map<std::string, std::size_t> connections_by_address_;
+  base::TimePoint stalled_sought_at_{};  // Without finding enough.
   base::TimePoint closing_logged_at_{};
   std::size_t closings_unlogged_ = 0;
   bool is_draining_ = false;
--- a/libraries/http_stream/session.cc
+++ b/libraries/http_stream/session.cc
@@ -34,10 +34,17 @@
   socket_.non_blocking(true, ignored);
   const asio::ip::tcp::endpoint peer = socket_.remote_endpoint(ignored);
   peer_address_ = peer.address().to_string();
+  advanced_at_ = Now();
   RestartTimer();
   Read();
 }
 
+bool Session::is_incomplete() const {
+  const bool has_sent_none = next_number_ == 1;
+  return !is_closed_ && !is_writing_ && !is_discarding_input_ && pipeline_.empty() &&
+         (has_sent_none || parser_.state() != ParseState::kIdle);
+}
+
 void Session::Read() {
   if (is_reading_ || is_closed_) {
     return;
@@ -74,6 +81,12 @@
     return;
   }
   received_at_ = Now();
+  bytes_since_advance_ += bytes.size();
+  if (bytes_since_advance_ >= ServerLimits::kProgressBytes ||
+      parser_.state() == ParseState::kIdle) {
+    advanced_at_ = received_at_;
+    bytes_since_advance_ = 0;
+  }
   input_.append(bytes);
   ParseInput();
   if (is_closed_) {
@@ -128,7 +141,7 @@
   if (request_bytes <= request_bytes_) {
     return true;
   }
-  if (!server_->HasRoom(request_bytes, request_bytes_)) {
+  if (!server_->MakeRoom(*this, request_bytes, request_bytes_)) {
     return false;
   }
   server_->held_bytes_ += request_bytes - request_bytes_;
@@ -138,7 +151,7 @@
 
 bool Session::ReserveInput() {
   const std::size_t input_bytes = input_.empty() ? 0 : input_.capacity();
-  if (input_bytes > input_bytes_ && !server_->HasRoom(input_bytes, input_bytes_)) {
+  if (input_bytes > input_bytes_ && !server_->MakeRoom(*this, input_bytes, input_bytes_)) {
     return false;
   }
   server_->held_bytes_ += input_bytes;
--- a/libraries/http_stream/session.h
+++ b/libraries/http_stream/session.h
@@ -27,6 +27,13 @@
   std::size_t unread_bytes() const { return unread_bytes_; }
   /** @return When bytes of a response were last written, or when the first one was given. */
   base::TimePoint progressed_at() const { return progressed_at_; }
+  /** @return Whether the connection has no request in progress and a part of one has arrived, or
+   * none ever has. */
+  bool is_incomplete() const;
+  /** @return Size of the request that is being read, as counted at the server. */
+  std::size_t request_bytes() const { return request_bytes_ + input_bytes_; }
+  /** @return When kProgressBytes more of the request had arrived, or when it began. */
+  base::TimePoint advanced_at() const { return advanced_at_; }
   /** Closes the connection immediately; its unanswered requests are abandoned. */
   void Close();
   /** Closes the connection and drops the pointer to the server, which is stopping. */
@@ -97,6 +104,8 @@
   std::size_t unread_bytes_ = 0;  // Of all responses that are not written.
   base::TimePoint progressed_at_{};
   base::TimePoint received_at_{};  // When bytes last arrived.
+  base::TimePoint advanced_at_{};
+  std::size_t bytes_since_advance_ = 0;
   std::size_t request_bytes_ = 0;  // Of the request being read, as counted at the server.
   std::size_t input_bytes_ = 0;    // That wait unparsed, as counted at the server.
   bool has_continued_ = false;  // The caller of the request being read was told to send its body.
--- a/libraries/mesh/mesh_node.cc
+++ b/libraries/mesh/mesh_node.cc
@@ -466,6 +466,9 @@
   text.Add("borageloft_closed_stalled_bodies_total",
            "Connections closed because their caller stopped in the middle of a body",
            caller_server_->counters().closed_stalled_bodies);
+  text.Add("borageloft_closed_stalled_senders_total",
+           "Connections closed because their incomplete requests kept others out",
+           caller_server_->counters().closed_stalled_senders);
   text.Add("borageloft_caller_connections_refused_total",
            "Connections refused because there were too many",
            caller_server_->counters().connections_refused);
--- a/tests/http_stream/server_test.cc
+++ b/tests/http_stream/server_test.cc
@@ -239,6 +239,44 @@
   EXPECT_TRUE(received_.empty());
 }
 
+// Guards against callers that stop in the middle of their requests and keep all others out until
+// their time is up: by the memory of what they sent, or by the number of their connections.
+TEST_F(ServerTest, StalledSendersGiveWayToOrdinaryRequests) {
+  for (const bool is_full_of_bytes : {true, false}) {
+    SCOPED_TRACE(is_full_of_bytes);
+    received_.clear();
+    ServerLimits limits;
+    limits.stall_patience = std::chrono::milliseconds(0);
+    limits.held_bytes = std::size_t{64} << 10U;
+    limits.connections = is_full_of_bytes ? 16 : 4;
+    server_->set_limits(limits);
+    const tcp::endpoint address = client_.remote_endpoint();
+    const std::string head = "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+                             std::string(is_full_of_bytes ? "18000" : "10") + "\r\n\r\nbegin";
+    std::deque<tcp::socket> stalled;
+    for (int i = 0; i < 3; ++i) {
+      stalled.emplace_back(context_).connect(address);
+      asio::write(stalled.back(), asio::buffer(head));
+    }
+    ASSERT_TRUE(RunUntil([&] { return server_->held_bytes() > 3 * 10; }));
+    ASSERT_TRUE(RunUntil([&] { return server_->connection_count() == 4; }));
+    tcp::socket ordinary(context_);
+    ordinary.connect(address);
+    asio::write(ordinary,
+                asio::buffer("POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 12000\r\n\r\n" +
+                             std::string(12'000, 'x')));
+    ASSERT_TRUE(RunUntil([&] { return received_.size() == 1; }));
+    EXPECT_EQ(received_[0].message.target, "/2");
+    received_[0].exchange.Respond(MakeResponse("done"));
+    EXPECT_GE(server_->counters().closed_stalled_senders, 1U);
+    for (tcp::socket& socket : stalled) {
+      socket.close();
+    }
+    ordinary.close();
+    ASSERT_TRUE(RunUntil([&] { return server_->connection_count() <= 1; }));
+  }
+}
+
 // Guards against running requests whose caller has disconnected.
 TEST_F(ServerTest, NotifiesWhenTheCallerDisconnects) {
   Send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
