Review: Show work sent to a back end after its leave

A back end that starts again under its id and leaves before its first heartbeat arrives gets an acknowledgement, and its node goes on sending it requests. LocalInstance::HandleLeave takes the leave of a later process of the same id for that of another one.

--- /dev/null
+++ b/review/11/leave_unheard.cc
@@ -0,0 +1,170 @@
+/** @file A back end starts again under its id and leaves before its first heartbeat arrives. */
+
+#include <atomic>
+#include <cstdlib>
+#include <iostream>
+#include <thread>
+
+#include "review/harness-3/backend.h"
+#include "review/harness-3/deployment.h"
+
+namespace {
+
+using review::Address;
+using review::Clock;
+using review::milliseconds;
+
+// `drain_ms` of the deployment.
+constexpr milliseconds kDrainBound{2000};
+// The back end ends this long after its leave is acknowledged: drain_ms and a little longer.
+constexpr milliseconds kServesAfterLeave{3000};
+// The other back end of the service is slower.
+constexpr milliseconds kWork{60};
+constexpr milliseconds kOtherWork{150};
+// Lateness of the second life's first heartbeat.
+constexpr milliseconds kHeartbeatLate{3500};
+constexpr int kClients = 8;
+
+constexpr int kHeld = 0;
+constexpr int kBroken = 1;
+constexpr int kCouldNotRun = 2;
+
+/** What the clients and the back end saw. */
+struct Seen {
+  std::atomic<std::int64_t> leave_acknowledged_ms{0};
+  std::atomic<int> runs{0};
+  std::atomic<int> late_runs{0};
+  std::atomic<int> served{0};
+  std::atomic<int> refused{0};
+  std::atomic<int> failed{0};
+};
+
+std::int64_t NowMs() {
+  return std::chrono::duration_cast<milliseconds>(Clock::now().time_since_epoch()).count();
+}
+
+/** Sends unsafe requests one after the other while @p is_on. */
+void RunClient(review::Record& record, const Address& target, int number,
+               const std::atomic<bool>& is_on, const std::atomic<bool>& is_ended, Seen& seen) {
+  for (int i = 0; !is_ended; ++i) {
+    std::this_thread::sleep_for(milliseconds(20));
+    if (!is_on) {
+      continue;
+    }
+    const std::string id = "c" + std::to_string(number) + "n" + std::to_string(i);
+    const auto answer = review::Call(
+        target,
+        review::RequestBytes(
+            "POST", "/claims/new", "shop.example",
+            {{"X-Borageloft-Request-Id", id}, {"X-Borageloft-Deadline-Ms", "3000"}}, "claim"),
+        milliseconds(3500));
+    const int status = answer ? answer->status : 0;
+    record.Write("client sent " + id + ", got " + std::to_string(status));
+    ++(status == 200 ? seen.served : status == 503 ? seen.refused : seen.failed);
+  }
+}
+
+}  // namespace
+
+int main(int count, char** arguments) {
+  if (count != 3) {
+    std::cerr << "usage: leave_unheard FOLDER RECORD\n";
+    return kCouldNotRun;
+  }
+  const char* trouble_text = std::getenv("TROUBLE");
+  const bool has_trouble = trouble_text == nullptr || std::string(trouble_text) != "0";
+  review::Record record(arguments[2]);
+  Seen seen;
+  review::Deployment deployment(record, arguments[1], {"front", "ledger", "ledger"});
+  if (!deployment.Start()) {
+    return kCouldNotRun;
+  }
+  review::Backend front(record, "front", deployment.sidecar(0).app, deployment.sidecar(0).control);
+  review::Backend first(record, "ledger", deployment.sidecar(1).app, deployment.sidecar(1).control);
+  review::Backend second(record, "ledger", deployment.sidecar(2).app,
+                         deployment.sidecar(2).control);
+  first.set_handler([&](const review::Message& request) {
+    ++seen.runs;
+    const std::int64_t acknowledged = seen.leave_acknowledged_ms;
+    if (acknowledged > 0 && NowMs() - acknowledged > kDrainBound.count()) {
+      ++seen.late_runs;
+      record.Write("LATE: " + request.Field("x-borageloft-request-id") + " reaches the back end " +
+                   std::to_string(NowMs() - acknowledged) + " ms after its leave was acknowledged");
+    }
+    review::Plan plan;
+    plan.work = kWork;
+    return plan;
+  });
+  second.set_handler([](const review::Message&) {
+    review::Plan plan;
+    plan.work = kOtherWork;
+    return plan;
+  });
+  const std::uint64_t born = review::UnixMilliseconds();
+  const std::string route =
+      R"({"name":"claims","path_prefix":"/claims/","kind":"unsafe","timeout_ms":3000,)"
+      R"("target_latency_ms":1000,"priority":0,"service":"ledger","attempts":2})";
+  const bool is_up = front.Begin("i-front", born, true) && first.Begin("i-first", born, false) &&
+                     second.Begin("i-second", born, true) &&
+                     deployment.Put(0, review::MakeConfiguration(5, route, {"front", "ledger"}),
+                                    milliseconds(15000)) == 200 &&
+                     deployment.WaitReady(milliseconds(10000));
+  if (!is_up) {
+    return kCouldNotRun;
+  }
+  std::atomic<bool> is_on{false};
+  std::atomic<bool> is_ended{false};
+  // Heartbeats of the first back end are said here, so that its next start follows one of them.
+  for (int i = 0; i < 2; ++i) {
+    first.Say(first.MakeHeartbeat("ready"));
+    std::this_thread::sleep_for(milliseconds(1500));
+  }
+  std::vector<std::thread> clients;
+  for (int i = 0; i < kClients; ++i) {
+    clients.emplace_back(
+        [&, i] { RunClient(record, deployment.sidecar(0).outbound, i, is_on, is_ended, seen); });
+  }
+  is_on = true;
+  first.Say(first.MakeHeartbeat("ready"));
+  std::this_thread::sleep_for(milliseconds(1500));
+  first.Say(first.MakeHeartbeat("ready"));
+  const int runs_before = seen.runs;
+  std::string late_heartbeat;
+  if (has_trouble) {
+    // The process ends in a quiet moment and is started again at once, under the id that it had.
+    is_on = false;
+    std::this_thread::sleep_for(milliseconds(300));
+    first.End();
+    if (!first.Begin("i-first", review::UnixMilliseconds(), false)) {
+      return kCouldNotRun;
+    }
+    late_heartbeat = first.MakeHeartbeat("ready");
+    is_on = true;
+  }
+  const Clock::time_point restarted = Clock::now();
+  std::this_thread::sleep_for(milliseconds(200));
+  const bool has_left = first.Leave(milliseconds(3000));
+  seen.leave_acknowledged_ms = NowMs();
+  std::this_thread::sleep_for(kServesAfterLeave);
+  first.End();
+  if (!late_heartbeat.empty()) {
+    std::this_thread::sleep_until(restarted + kHeartbeatLate);
+    record.Write("the first heartbeat of the second life arrives, answered " +
+                 std::to_string(first.Say(late_heartbeat)));
+  }
+  std::this_thread::sleep_for(milliseconds(500));
+  is_ended = true;
+  for (std::thread& client : clients) {
+    client.join();
+  }
+  const std::vector<std::string> ended = deployment.Ended();
+  record.Write("served " + std::to_string(seen.served) + ", refused " +
+               std::to_string(seen.refused) + ", failed " + std::to_string(seen.failed) +
+               ", late at the back end " + std::to_string(seen.late_runs));
+  if (!has_left || runs_before == 0 || !ended.empty()) {
+    record.Write("the case could not run");
+    return kCouldNotRun;
+  }
+  std::cout << "late requests: " << seen.late_runs << "\n";
+  return seen.late_runs > 0 ? kBroken : kHeld;
+}
