Review: Make the case of the unheard leave independent of Server-Leaving

The back end of review/11 now says in its answers that it leaves, and the service is quiet for 2.1 s after the acknowledgement.

--- a/review/11/leave_unheard.cc
+++ b/review/11/leave_unheard.cc
@@ -6,64 +6,42 @@
 #include <thread>
 
 #include "review/harness-3/backend.h"
+#include "review/harness-3/clients.h"
 #include "review/harness-3/deployment.h"
 
 namespace {
 
-using review::Address;
 using review::Clock;
 using review::milliseconds;
 
 // `drain_ms` of the deployment.
 constexpr milliseconds kDrainBound{2000};
 // The back end ends this long after its leave is acknowledged: drain_ms and a little longer.
-constexpr milliseconds kServesAfterLeave{3000};
+constexpr milliseconds kServesAfterLeave{2400};
+// The service is quiet until then.
+constexpr milliseconds kQuietAfterLeave{2100};
 // The other back end of the service is slower.
-constexpr milliseconds kWork{60};
-constexpr milliseconds kOtherWork{150};
+constexpr milliseconds kWork{500};
+constexpr milliseconds kOtherWork{900};
 // Lateness of the second life's first heartbeat.
 constexpr milliseconds kHeartbeatLate{3500};
-constexpr int kClients = 8;
+constexpr int kClients = 16;
 
 constexpr int kHeld = 0;
 constexpr int kBroken = 1;
 constexpr int kCouldNotRun = 2;
 
-/** What the clients and the back end saw. */
+/** What the back end saw. */
 struct Seen {
   std::atomic<std::int64_t> leave_acknowledged_ms{0};
   std::atomic<int> runs{0};
   std::atomic<int> late_runs{0};
-  std::atomic<int> served{0};
-  std::atomic<int> refused{0};
-  std::atomic<int> failed{0};
 };
 
 std::int64_t NowMs() {
   return std::chrono::duration_cast<milliseconds>(Clock::now().time_since_epoch()).count();
 }
 
-/** Sends unsafe requests one after the other while @p is_on. */
-void RunClient(review::Record& record, const Address& target, int number,
-               const std::atomic<bool>& is_on, const std::atomic<bool>& is_ended, Seen& seen) {
-  for (int i = 0; !is_ended; ++i) {
-    std::this_thread::sleep_for(milliseconds(20));
-    if (!is_on) {
-      continue;
-    }
-    const std::string id = "c" + std::to_string(number) + "n" + std::to_string(i);
-    const auto answer = review::Call(
-        target,
-        review::RequestBytes(
-            "POST", "/claims/new", "shop.example",
-            {{"X-Borageloft-Request-Id", id}, {"X-Borageloft-Deadline-Ms", "3000"}}, "claim"),
-        milliseconds(3500));
-    const int status = answer ? answer->status : 0;
-    record.Write("client sent " + id + ", got " + std::to_string(status));
-    ++(status == 200 ? seen.served : status == 503 ? seen.refused : seen.failed);
-  }
-}
-
 }  // namespace
 
 int main(int count, char** arguments) {
@@ -112,19 +90,13 @@
   if (!is_up) {
     return kCouldNotRun;
   }
-  std::atomic<bool> is_on{false};
-  std::atomic<bool> is_ended{false};
   // Heartbeats of the first back end are said here, so that its next start follows one of them.
   for (int i = 0; i < 2; ++i) {
     first.Say(first.MakeHeartbeat("ready"));
     std::this_thread::sleep_for(milliseconds(1500));
   }
-  std::vector<std::thread> clients;
-  for (int i = 0; i < kClients; ++i) {
-    clients.emplace_back(
-        [&, i] { RunClient(record, deployment.sidecar(0).outbound, i, is_on, is_ended, seen); });
-  }
-  is_on = true;
+  review::Clients clients(record, deployment.sidecar(0).outbound, kClients);
+  clients.set_on(true);
   first.Say(first.MakeHeartbeat("ready"));
   std::this_thread::sleep_for(milliseconds(1500));
   first.Say(first.MakeHeartbeat("ready"));
@@ -132,20 +104,22 @@
   std::string late_heartbeat;
   if (has_trouble) {
     // The process ends in a quiet moment and is started again at once, under the id that it had.
-    is_on = false;
-    std::this_thread::sleep_for(milliseconds(300));
+    clients.set_on(false);
+    std::this_thread::sleep_for(2 * kOtherWork);
     first.End();
     if (!first.Begin("i-first", review::UnixMilliseconds(), false)) {
       return kCouldNotRun;
     }
     late_heartbeat = first.MakeHeartbeat("ready");
-    is_on = true;
   }
+  clients.set_on(false);
   const Clock::time_point restarted = Clock::now();
   std::this_thread::sleep_for(milliseconds(200));
   const bool has_left = first.Leave(milliseconds(3000));
   seen.leave_acknowledged_ms = NowMs();
-  std::this_thread::sleep_for(kServesAfterLeave);
+  std::this_thread::sleep_for(kQuietAfterLeave);
+  clients.set_on(true);
+  std::this_thread::sleep_for(kServesAfterLeave - kQuietAfterLeave);
   first.End();
   if (!late_heartbeat.empty()) {
     std::this_thread::sleep_until(restarted + kHeartbeatLate);
@@ -153,14 +127,12 @@
                  std::to_string(first.Say(late_heartbeat)));
   }
   std::this_thread::sleep_for(milliseconds(500));
-  is_ended = true;
-  for (std::thread& client : clients) {
-    client.join();
-  }
+  clients.Stop();
   const std::vector<std::string> ended = deployment.Ended();
-  record.Write("served " + std::to_string(seen.served) + ", refused " +
-               std::to_string(seen.refused) + ", failed " + std::to_string(seen.failed) +
-               ", late at the back end " + std::to_string(seen.late_runs));
+  record.Write("served " + std::to_string(clients.counts().served) + ", refused " +
+               std::to_string(clients.counts().refused) + ", failed " +
+               std::to_string(clients.counts().failed) + ", late at the back end " +
+               std::to_string(seen.late_runs));
   if (!has_left || runs_before == 0 || !ended.empty()) {
     record.Write("the case could not run");
     return kCouldNotRun;
--- a/review/harness-3/backend.h
+++ b/review/harness-3/backend.h
@@ -63,7 +63,10 @@
   std::string MakeHeartbeat(const std::string& state);
   /** Sends bytes made by MakeHeartbeat(). @return Status of the answer, or 0. */
   int Say(const std::string& bytes) const;
-  /** Says that this life leaves, until that is acknowledged. @return Whether it was. */
+  /**
+   * Says that this life leaves, until that is acknowledged. From then on its answers say so too.
+   * @return Whether it was acknowledged.
+   */
   bool Leave(milliseconds limit);
 
   void set_says_heartbeats(bool says) { says_heartbeats_ = says; }
@@ -72,7 +75,7 @@
  private:
   void Accept(int listener);
   void Serve(const std::shared_ptr<Socket>& connection);
-  std::string Answer(const Message& request, bool& closes);
+  std::string Answer(const Message& request, bool& drops);
   void Announce();
 
   Record& record_;
@@ -85,6 +88,7 @@
   std::atomic<std::uint64_t> sequence_{0};
   std::atomic<bool> is_alive_{false};
   std::atomic<bool> says_heartbeats_{false};
+  std::atomic<bool> is_leaving_{false};  // Its answers and its health path say so.
   std::mutex mutex_;
   std::set<std::shared_ptr<Socket>> connections_;
   std::vector<std::thread> threads_;
