--- a/review/harness-3/backend.cc
+++ b/review/harness-3/backend.cc
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace review {
 
@@ -114,14 +115,14 @@
 }
 
 void Backend::Serve(const std::shared_ptr<Socket>& connection) {
+  std::string late_bytes;
   while (is_alive_) {
     const std::optional<Message> request = connection->ReadMessage(kIdleLimit);
-    if (!request || !is_alive_) {
+    if (!request || !is_alive_ || !connection->Write(std::exchange(late_bytes, ""))) {
       break;
     }
-    bool drops = false;
-    const std::string answer = Answer(*request, drops);
-    if (!is_alive_ || drops || !connection->Write(answer) || is_leaving_) {
+    const std::string answer = Answer(*request, late_bytes);
+    if (!is_alive_ || !connection->Write(answer) || is_leaving_) {
       break;
     }
   }
@@ -130,7 +131,7 @@
   connections_.erase(connection);
 }
 
-std::string Backend::Answer(const Message& request, bool& drops) {
+std::string Backend::Answer(const Message& request, std::string& late_bytes) {
   const Fields instance = {{"X-Borageloft-Instance-Id", id_}};
   if (request.target == "/health") {
     return AnswerBytes(is_leaving_ ? 503 : 200, instance, "");
@@ -154,7 +155,7 @@
   while (is_alive_ && Clock::now() < end) {
     std::this_thread::sleep_for(std::min<Clock::duration>(milliseconds(5), end - Clock::now()));
   }
-  drops = plan.drops_answer;
+  late_bytes = plan.late_bytes;
   fields["X-Borageloft-Response-Seal"] = "seal-" + request_id;
   fields.insert(plan.fields.begin(), plan.fields.end());
   return AnswerBytes(plan.status, fields,
--- a/review/harness-3/backend.h
+++ b/review/harness-3/backend.h
@@ -21,7 +21,8 @@
   int status = 200;
   Fields fields;
   std::string body;
-  bool drops_answer = false;  ///< The connection is reset in place of the answer.
+  /** Bytes sent on the same connection once the next request has come, before its answer. */
+  std::string late_bytes;
 };
 
 /**
@@ -75,7 +76,7 @@
  private:
   void Accept(int listener);
   void Serve(const std::shared_ptr<Socket>& connection);
-  std::string Answer(const Message& request, bool& drops);
+  std::string Answer(const Message& request, std::string& late_bytes);
   void Announce();
 
   Record& record_;
--- a/review/harness-3/deployment.cc
+++ b/review/harness-3/deployment.cc
@@ -3,6 +3,7 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
+#include <filesystem>
 #include <fstream>
 #include <sstream>
 #include <thread>
@@ -84,10 +85,11 @@
          routes + "]}]}";
 }
 
-Deployment::Deployment(Record& record, std::string folder, const std::vector<std::string>& services)
+Deployment::Deployment(Record& record, std::string folder, const std::vector<std::string>& services,
+                       std::size_t spares)
     : record_(record), folder_(std::move(folder)) {
   const char* const zones[] = {"zone-a", "zone-b", "zone-c"};
-  for (std::size_t i = 0; i < kCores; ++i) {
+  for (std::size_t i = 0; i < kCores + spares; ++i) {
     Machine& machine = cores_.emplace_back();
     machine.name = "core-" + std::to_string(i + 1);
     machine.zone = zones[i % 3];
@@ -161,20 +163,88 @@
     record_.Write("the program or free addresses are missing");
     return false;
   }
-  for (auto* machines : {&cores_, &sidecars_}) {
-    for (Machine& machine : *machines) {
-      mkdir((folder_ + "/" + machine.name + "-disk").c_str(), 0755);
-      machine.settings_file = folder_ + "/" + machine.name + ".ini";
-      WriteSettings(machine, true);
-      machine.process = std::make_unique<Process>(
-          std::vector<std::string>{kProgram, "--settings", machine.settings_file},
-          folder_ + "/" + machine.name + ".log");
-      machine.process->Start();
-    }
+  for (std::size_t i = 0; i < kCores; ++i) {
+    StartProcess(cores_[i], true);
+  }
+  for (Machine& machine : sidecars_) {
+    StartProcess(machine, true);
   }
   return true;
 }
 
+void Deployment::StartProcess(Machine& machine, bool is_first_start) {
+  mkdir((folder_ + "/" + machine.name + "-disk").c_str(), 0755);
+  machine.settings_file = folder_ + "/" + machine.name + ".ini";
+  WriteSettings(machine, is_first_start);
+  machine.process = std::make_unique<Process>(
+      std::vector<std::string>{kProgram, "--settings", machine.settings_file},
+      folder_ + "/" + machine.name + ".log");
+  machine.process->Start();
+}
+
+void Deployment::StartSpare(Machine& machine) {
+  StartProcess(machine, false);
+  record_.Write(machine.name + " starts with an empty disk");
+}
+
+void Deployment::Remove(Machine& machine) {
+  machine.process.reset();
+  record_.Write(machine.name + " is removed for good");
+}
+
+void Deployment::LoseDisk(Machine& machine) {
+  machine.process->Kill();
+  std::filesystem::remove_all(folder_ + "/" + machine.name + "-disk");
+  record_.Write(machine.name + " is killed and loses its disk");
+}
+
+void Deployment::StartAgain(Machine& machine) {
+  StartProcess(machine, false);
+  record_.Write(machine.name + " starts again with an empty disk");
+}
+
+Machine* Deployment::FindLeader() {
+  for (Machine& machine : cores_) {
+    if (machine.process == nullptr || !machine.process->IsRunning()) {
+      continue;
+    }
+    const auto answer = Call(
+        machine.control,
+        RequestBytes("POST", "/borageloft/rpc?call=config.get", machine.control.Text(), {}, "{}"),
+        milliseconds(300));
+    if (answer && answer->status == 200) {
+      return &machine;
+    }
+  }
+  return nullptr;
+}
+
+std::string Deployment::Read(milliseconds limit) {
+  const Clock::time_point end = Clock::now() + limit;
+  std::map<int, int> statuses;
+  while (Clock::now() < end) {
+    for (const Machine& machine : cores_) {
+      if (machine.process == nullptr) {
+        continue;
+      }
+      const auto answer = Call(
+          machine.control,
+          RequestBytes("POST", "/borageloft/rpc?call=config.get", machine.control.Text(), {}, "{}"),
+          milliseconds(1000));
+      ++statuses[answer ? answer->status : 0];
+      if (answer && answer->status == 200) {
+        return answer->body;
+      }
+    }
+    std::this_thread::sleep_for(milliseconds(100));
+  }
+  for (const auto& [status, count] : statuses) {
+    record_.Write("reads of the configuration answered " + std::to_string(status) + ": " +
+                  std::to_string(count));
+  }
+  return "";
+}
+
 int Deployment::Put(std::uint64_t base, const std::string& text, milliseconds limit) {
   const Clock::time_point end = Clock::now() + limit;
   Address target = cores_[0].control;
@@ -233,7 +303,7 @@
   std::vector<std::string> ended;
   for (auto* machines : {&cores_, &sidecars_}) {
     for (Machine& machine : *machines) {
-      if (!machine.process->IsRunning()) {
+      if (machine.process != nullptr && !machine.process->IsRunning()) {
         ended.push_back(machine.name);
       }
     }
--- a/review/harness-3/deployment.h
+++ b/review/harness-3/deployment.h
@@ -35,8 +35,10 @@
   /**
    * @param folder Temporary folder for settings, disks and logs.
    * @param services Service of each sidecar machine.
+   * @param spares Core machines that are not started at first, after the five others.
    */
-  Deployment(Record& record, std::string folder, const std::vector<std::string>& services);
+  Deployment(Record& record, std::string folder, const std::vector<std::string>& services,
+             std::size_t spares = 0);
 
   /** Starts all processes. @return Whether the addresses were free. */
   bool Start();
@@ -53,6 +55,24 @@
   /** Kills the process of a machine and starts it again after @p pause. */
   void Restart(Machine& machine, milliseconds pause);
 
+  /** Starts a spare core machine, with an empty disk. */
+  void StartSpare(Machine& machine);
+  /** Kills the process of a core machine for good. */
+  void Remove(Machine& machine);
+  /** Kills the process of a core machine and empties its disk. */
+  void LoseDisk(Machine& machine);
+  /** Starts the process of a core machine that has lost its disk. */
+  void StartAgain(Machine& machine);
+  /** @return The core machine that answers a read of the configuration itself, or null. */
+  Machine* FindLeader();
+  /**
+   * Reads the configuration as the operator, at one machine after the other.
+   * @param limit Time for it.
+   * @return The configuration, or empty if none came.
+   */
+  std::string Read(milliseconds limit);
+
+  std::size_t cores() const { return cores_.size(); }
   Machine& sidecar(std::size_t index) { return sidecars_.at(index); }
   Machine& core(std::size_t index) { return cores_.at(index); }
   /** @return Machines whose process has ended. */
@@ -61,6 +81,7 @@
  private:
   bool ChooseAddresses();
   void WriteSettings(const Machine& machine, bool is_first_start) const;
+  void StartProcess(Machine& machine, bool is_first_start);
 
   Record& record_;
   const std::string folder_;
