Review: Show a node that runs out of memory by requests of other nodes

Cause: the part of a frame that has come is kept for each connection between nodes, up to 36 MiB, and nothing bounds the sum.

--- a/review/harness-3/process.cc
+++ b/review/harness-3/process.cc
@@ -6,6 +6,8 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <fstream>
+
 namespace review {
 
 void Process::Start() {
@@ -46,4 +48,14 @@
   return id_ > 0;
 }
 
+std::size_t Process::Memory() const {
+  std::ifstream file("/proc/" + std::to_string(id_) + "/statm");
+  std::size_t total_pages = 0;
+  std::size_t resident_pages = 0;
+  if (id_ <= 0 || !(file >> total_pages >> resident_pages)) {
+    return 0;
+  }
+  return resident_pages * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+}
+
 }  // namespace review
--- a/review/harness-3/process.h
+++ b/review/harness-3/process.h
@@ -3,6 +3,7 @@
 
 #include <sys/types.h>
 
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,8 @@
   void Signal(int signal) const;
   /** @return Whether it runs. */
   bool IsRunning();
+  /** @return Memory that it uses, in bytes; 0 if it does not run. */
+  std::size_t Memory() const;
 
  private:
   std::vector<std::string> words_;
