--- a/review/harness-3/http.cc
+++ b/review/harness-3/http.cc
@@ -10,7 +10,6 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstdlib>
-#include <thread>
 #include <utility>
 
 namespace review {
@@ -221,52 +220,4 @@
   return connection.ReadMessage(limit);
 }
 
-Download ReadSteadily(const Address& to, const std::string& bytes,
-                      std::size_t bytes_per_millisecond, std::chrono::milliseconds limit) {
-  constexpr int kReceiveBuffer = 64 * 1024;
-  constexpr std::chrono::milliseconds kStep{5};
-  Download result;
-  const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &kReceiveBuffer, sizeof(kReceiveBuffer));
-  const sockaddr_in system = ToSystem(to);
-  const Time start = std::chrono::steady_clock::now();
-  std::string head;
-  if (connect(descriptor, reinterpret_cast<const sockaddr*>(&system),
-              static_cast<socklen_t>(sizeof(system))) == 0 &&
-      send(descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
-          static_cast<ssize_t>(bytes.size())) {
-    std::string buffer(bytes_per_millisecond * static_cast<std::size_t>(kStep.count()), '\0');
-    Time began = start;  // When the first bytes of the body came.
-    while (!result.IsWhole() && std::chrono::steady_clock::now() < start + limit) {
-      if (!Wait(descriptor, POLLIN, start + limit)) {
-        break;
-      }
-      const ssize_t count = recv(descriptor, buffer.data(), buffer.size(), 0);
-      if (count <= 0) {
-        break;
-      }
-      std::size_t body = static_cast<std::size_t>(count);
-      if (result.stated_bytes == 0) {
-        head.append(buffer.data(), body);
-        const std::size_t end = head.find("\r\n\r\n");
-        if (end == std::string::npos) {
-          continue;
-        }
-        const Message message = ParseHead(head.substr(0, end));
-        result.status = message.status;
-        result.stated_bytes =
-            static_cast<std::size_t>(std::atol(message.Field("content-length").c_str()));
-        body = head.size() - end - 4;
-        began = std::chrono::steady_clock::now();
-      }
-      result.body_bytes += body;
-      std::this_thread::sleep_until(
-          began + std::chrono::microseconds(1000 * result.body_bytes / bytes_per_millisecond));
-    }
-  }
-  close(descriptor);
-  result.ended = std::chrono::steady_clock::now();
-  return result;
-}
-
 }  // namespace review
--- a/review/harness-3/http.h
+++ b/review/harness-3/http.h
@@ -99,25 +99,6 @@
 std::optional<Message> Call(const Address& to, const std::string& bytes,
                             std::chrono::milliseconds limit);
 
-/** How much of an answer a client that reads at a steady rate got. */
-struct Download {
-  int status = 0;
-  std::size_t stated_bytes = 0;  ///< Length of the body as the answer states it.
-  std::size_t body_bytes = 0;    ///< What was read of it.
-  std::chrono::steady_clock::time_point ended;
-
-  bool IsWhole() const { return stated_bytes > 0 && body_bytes == stated_bytes; }
-};
-
-/**
- * Sends one request on a connection of its own and reads its answer at a steady rate.
- * @param bytes_per_millisecond The rate.
- * @param limit Time for all of it.
- * @return What was read until the answer, the connection or the time ended.
- */
-Download ReadSteadily(const Address& to, const std::string& bytes,
-                      std::size_t bytes_per_millisecond, std::chrono::milliseconds limit);
-
 }  // namespace review
 
 #endif  // BORAGELOFT_REVIEW_HARNESS_3_HTTP_H_
