--- a/review/11/lost_after_repair.cc
+++ b/review/11/lost_after_repair.cc
@@ -56,7 +56,7 @@
       R"("target_latency_ms":1000,"priority":0,"service":"front","attempts":2})";
   const std::string first = review::MakeConfiguration(5, route, {"front"});
   const std::string second = review::MakeConfiguration(7, route, {"front"});
-  if (!deployment.Start() || deployment.Put(0, first, milliseconds(15000)) != 200 ||
+  if (!deployment.Start() || deployment.Put(0, first, milliseconds(30000)) != 200 ||
       deployment.Put(5, second, milliseconds(5000)) != 200) {
     return kCouldNotRun;
   }
