--- a/review/harness-3/process.cc
+++ b/review/harness-3/process.cc
@@ -52,10 +52,11 @@
   std::ifstream file("/proc/" + std::to_string(id_) + "/statm");
   std::size_t total_pages = 0;
   std::size_t resident_pages = 0;
-  if (id_ <= 0 || !(file >> total_pages >> resident_pages)) {
+  std::size_t shared_pages = 0;
+  if (id_ <= 0 || !(file >> total_pages >> resident_pages >> shared_pages)) {
     return 0;
   }
-  return resident_pages * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+  return (resident_pages - shared_pages) * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
 }
 
 }  // namespace review
--- a/review/harness-3/process.h
+++ b/review/harness-3/process.h
@@ -29,7 +29,10 @@
   void Signal(int signal) const;
   /** @return Whether it runs. */
   bool IsRunning();
-  /** @return Memory that it uses, in bytes; 0 if it does not run. */
+  /**
+   * @return Memory that it uses, in bytes, without the pages of its program and of libraries; 0 if
+   * it does not run.
+   */
   std::size_t Memory() const;
 
  private:
