Mesh: Let a control host end while departures are pending

A control host that ended while departures were not yet committed used freed memory: its member completes what is pending when it is destroyed, after the list of proposed departures and the freshness keeper were gone. The member is now destroyed first.

AControlHostEndsWhileDeparturesArePending: heap-use-after-free in ControlService::HandleDeparture under AddressSanitizer before, passes now.

--- a/libraries/mesh/control_service.cc
+++ b/libraries/mesh/control_service.cc
@@ -76,9 +76,9 @@
       hooks_(std::move(hooks)),
       timers_(timers),
       directory_(hooks_.random() | 1U, kRecordLifetime, hooks_.clock()),
-      member_(MemberOptionsOf(settings), MemberHooksOf(hooks_), folder, timers),
       freshness_(MakeFreshnessHooks()),
-      quotas_(settings.quotas) {}
+      quotas_(settings.quotas),
+      member_(MemberOptionsOf(settings), MemberHooksOf(hooks_), folder, timers) {}
 
 ControlService::~ControlService() {
   for (const timer::SubscriptionId subscription : subscriptions_) {
--- a/libraries/mesh/control_service.h
+++ b/libraries/mesh/control_service.h
@@ -96,7 +96,6 @@
   ControlServiceHooks hooks_;
   timer::TimerService& timers_;
   directory::ControlDirectory directory_;
-  control_member::Member member_;
   FreshnessKeeper freshness_;
   quota::QuotaOwner quotas_;
   consensus::Term quota_term_ = 0;          // Term in which this host owns the quotas.
@@ -104,6 +103,8 @@
   // Departures that are proposed and not yet committed; nodes repeat their requests meanwhile.
   std::vector<directory::Departure> proposed_departures_;
   std::vector<timer::SubscriptionId> subscriptions_;
+  // Destroyed first: it then completes what is pending, and the callbacks use the parts above.
+  control_member::Member member_;
 };
 
 }  // namespace borageloft::mesh
--- a/tests/platform/deployment_test.cc
+++ b/tests/platform/deployment_test.cc
@@ -474,6 +474,28 @@
   EXPECT_TRUE(deployment.ViewOf(node).has_upstream) << "its successor is known";
 }
 
+// Guards against a control host that uses freed memory at its end, as departures that are not
+// committed by then complete after their list is gone. AddressSanitizer shows it.
+TEST(DeploymentTest, AControlHostEndsWhileDeparturesArePending) {
+  Deployment deployment(3, 3);
+  deployment.StartAll();
+  Operators operators(deployment);
+  operators.Found();
+  ASSERT_TRUE(deployment.AdvanceUntil(seconds(20), [&] { return operators.newest() > 0; }));
+  deployment.Advance(seconds(4));
+  const std::string leader = deployment.Leader();
+  const std::vector<std::string> controls = deployment.control_hosts();
+  deployment.is_cut = [&](const std::string& from, const std::string& to) {
+    return from == leader && std::find(controls.begin(), controls.end(), to) != controls.end();
+  };
+  for (const std::string& node : deployment.nodes()) {
+    deployment.ReplaceUpstream(node);
+  }
+  deployment.Advance(milliseconds(200));
+  EXPECT_EQ(deployment.Leader(), leader) << "the departures are no longer pending";
+  deployment.Kill(leader);
+}
+
 void PlayRandomDays(DayKind kind) {
   const char* first = std::getenv("DEPLOYMENT_SEED");
   const char* count = std::getenv("DEPLOYMENT_SEEDS");
