--- a/libraries/replication/replica_host.cc
+++ b/libraries/replication/replica_host.cc
@@ -255,7 +255,7 @@
   view.time_since_contact = [this, now](consensus::ReplicaId replica) {
     return now - last_contact_.at(replica);
   };
-  const auto change = PlanRepair(view);
+  std::optional<MembershipChange> change = PlanRepair(view);
   if (!change || replica_->ProposeMembership(*change).status != ProposalStatus::kAppended) {
     return std::nullopt;
   }
