Tests: Draw more kinds of losses in succession

Replacements in order, with the successor first, and freezes are added to the losses that DeploymentTest draws one after the other; the drawing of single events uses the same functions and stays as it was.

--- a/tests/platform/deployment_test.cc
+++ b/tests/platform/deployment_test.cc
@@ -214,26 +214,29 @@
       return;
     }
     const milliseconds down(Draw(2) == 0 ? Draw(500) : Draw(4000));
-    switch (Draw(5)) {
+    switch (Draw(8)) {
       case 0:
-      case 1: {
-        deployment_.Remove(host);
-        const std::string successor = deployment_.AddControl();
-        NoteLoss(successor, down);
-        Restart(successor, down);
+      case 1:
+        ReplaceControl(host, down);
         break;
-      }
       case 2:
+        ReplaceControlInOrder(host, down);
+        break;
       case 3:
+      case 4:
+      case 5:
         deployment_.WipeDisk(host);
         NoteLoss(host, down);
         Restart(host, down);
         break;
-      default:
+      case 6:
         deployment_.Kill(host);
         NoteLoss(host, down);
         Restart(host, down);
         break;
+      default:
+        Freeze(host, down);
+        break;
     }
   }
 
@@ -270,36 +273,42 @@
       return;
     }
     for (const std::string& host : PickControls(1)) {
-      const milliseconds delay(300 + Draw(4000));
-      deployment_.Remove(host);
-      const std::string successor = deployment_.AddControl();
-      NoteLoss(successor, delay);
-      Restart(successor, delay);
+      ReplaceControl(host, milliseconds(300 + Draw(4000)));
     }
   }
 
+  void ReplaceControl(const std::string& host, milliseconds delay) {
+    deployment_.Remove(host);
+    const std::string successor = deployment_.AddControl();
+    NoteLoss(successor, delay);
+    Restart(successor, delay);
+  }
+
   void ReplaceControlInOrder() {
     if (Spare() == 0) {
       return;
     }
     for (const std::string& host : PickControls(1)) {
-      const milliseconds gap(1000 + Draw(4000));
-      const std::string successor = deployment_.AddControl();
-      deployment_.StartControl(successor, StartKind::kLater);
-      NoteLoss(successor, gap);
-      reserved_.insert(host);
-      Disturb(gap + milliseconds(6000));
-      deployment_.Schedule(gap, [this, host] {
-        if (deployment_.IsRunning(host)) {
-          deployment_.StopAndRemove(host);
-        } else {
-          deployment_.Remove(host);
-        }
-        reserved_.erase(host);
-      });
+      ReplaceControlInOrder(host, milliseconds(1000 + Draw(4000)));
     }
   }
 
+  void ReplaceControlInOrder(const std::string& host, milliseconds gap) {
+    const std::string successor = deployment_.AddControl();
+    deployment_.StartControl(successor, StartKind::kLater);
+    NoteLoss(successor, gap);
+    reserved_.insert(host);
+    Disturb(gap + milliseconds(6000));
+    deployment_.Schedule(gap, [this, host] {
+      if (deployment_.IsRunning(host)) {
+        deployment_.StopAndRemove(host);
+      } else {
+        deployment_.Remove(host);
+      }
+      reserved_.erase(host);
+    });
+  }
+
   void FailDisk() {
     for (const std::string& host : PickLosses()) {
       deployment_.FailDisk(host, 1 + Draw(20));
@@ -309,17 +318,20 @@
 
   void Freeze() {
     for (const std::string& host : PickLosses()) {
-      const milliseconds time(500 + Draw(4000));
-      deployment_.SetFrozen(host, true);
-      reserved_.insert(host);
-      NoteLoss(host, time);
-      deployment_.Schedule(time, [this, host] {
-        reserved_.erase(host);
-        deployment_.SetFrozen(host, false);
-      });
+      Freeze(host, milliseconds(500 + Draw(4000)));
     }
   }
 
+  void Freeze(const std::string& host, milliseconds time) {
+    deployment_.SetFrozen(host, true);
+    reserved_.insert(host);
+    NoteLoss(host, time);
+    deployment_.Schedule(time, [this, host] {
+      reserved_.erase(host);
+      deployment_.SetFrozen(host, false);
+    });
+  }
+
   void Cut() {
     if (deployment_.is_cut) {
       return;
